SIGHUP reads the configuration again and moves the watch to the new discovery

Checked: no file of the program handles SIGHUP (daemon/program.py added SIGTERM and SIGINT only), so the default action ended it. Director held one address for life (director/watch.py), so that a handler alone would have left it on an agent that closes after 1.5 s. Changed: Director keeps one watch a address; the new one begins with a whole list and takes over with it, the old one counts until then, a later SIGHUP ends one that has not answered. The program has a state more, reloading. What can't change live is named in the log, an unusable file is one line.

--- a/oxbowyard/__main__.py
+++ b/oxbowyard/__main__.py
@@ -7,16 +7,17 @@
 import logging
 import os
 import sys
+from functools import partial
 from pathlib import Path
 
 from .daemon.config import BadConfig, Config, load
-from .daemon.program import Program
+from .daemon.program import Program, ReadConfig
 from .gearman.config import GearmanConfig
 from .gearman.config import load as load_gearman
 
 
-async def _run(config: Config, gearman: GearmanConfig | None) -> int:
-    return await Program(config, gearman).run()
+async def _run(read: ReadConfig) -> int:
+    return await Program(read).run()
 
 
 def _load_gearman(path: Path | None, config: Config) -> GearmanConfig | None:
@@ -28,6 +29,11 @@
         raise BadConfig(" ".join(str(fault).split())) from None
 
 
+def _read(gearman: Path | None) -> tuple[Config, GearmanConfig | None]:
+    config = load(os.environ)
+    return config, _load_gearman(gearman, config)
+
+
 def main() -> int:
     """Read the configuration and run until told to stop."""
     parser = argparse.ArgumentParser(prog="oxbowyard", description="One scheduler; LB_CONFIG names its file.")
@@ -41,8 +47,7 @@
     # The library logs each malformed request with its traceback; it answers 400, and that is enough.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     try:
-        config = load(os.environ)
-        return asyncio.run(_run(config, _load_gearman(options.gearman, config)))
+        return asyncio.run(_run(partial(_read, options.gearman)))
     except BadConfig as fault:
         print(f"oxbowyard: {fault}", file=sys.stderr)
     except OSError as fault:
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from typing import Any
 
@@ -31,7 +31,12 @@
 class Assembly:
     """A scheduler with its director, its backends and, where asked for, its Gearman front."""
 
-    def __init__(self, config: Config, gearman: GearmanConfig | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        gearman: GearmanConfig | None = None,
+        on_settled: Callable[[], None] = lambda: None,
+    ) -> None:
         clock = steady_unix_ms()
         self.config = config
         self.classes = frozenset(c.name for c in config.settings.classes)
@@ -51,7 +56,7 @@
         facade = Facade(settings, config.seed, clock)
         limits = Limits(open_reqs=self.most_open)
         self.scheduler = Scheduler(settings, facade, transport, clock, self.measure, limits)
-        self.director = Director(config.discovery, self.roster, self.scheduler.learn)
+        self.director = Director(config.discovery, self.roster, self.scheduler.learn, on_settled)
         self.gearman: GearmanFront | None = None
         if gearman and workers:
             workers.tell_to(self.scheduler.learn)
--- a/oxbowyard/daemon/config.py
+++ b/oxbowyard/daemon/config.py
@@ -27,6 +27,7 @@
     discovery: str
     seed: int
     sockets: int
+    memory_mb: float
     most_held: int
     settings: Settings
     by_work: bool
@@ -34,6 +35,18 @@
     load_names: Mapping[str, str] = field(default_factory=dict)
 
 
+# What a running program can't change about itself; `discovery` moves without a restart. The seed is new with
+# each start, and `known` is for one that begins with no list.
+NEED_RESTART = (
+    "name", "host", "port", "sockets", "memory_mb", "most_held", "settings", "by_work", "load_names",
+)  # fmt: skip
+
+
+def needs_restart(old: Config, new: Config) -> tuple[str, ...]:
+    """The names of the fields that differ and can't be changed live."""
+    return tuple(name for name in NEED_RESTART if getattr(old, name) != getattr(new, name))
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read the file that LB_CONFIG names; the other variables stand in for what it leaves out."""
     path = environ.get("LB_CONFIG")
@@ -68,6 +81,7 @@
         discovery=str(discovery),
         seed=int(str(document.get("seed") or "0"), 16),
         sockets=int(limits.get("sockets") or 1024),
+        memory_mb=float(limits.get("memory_mb") or 192),
         most_held=int(facts["policyLimits"].get("mostHeld") or 20_000),
         settings=settings_of(facts),
         by_work=facts.get("worthBy") == "work",
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -5,12 +5,13 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Callable
 from enum import Enum
 
 from ..clients.session import ClientSessions
 from ..gearman.config import GearmanConfig
 from .assembly import Assembly
-from .config import Config
+from .config import BadConfig, Config, needs_restart
 
 log = logging.getLogger("oxbowyard.daemon")
 
@@ -21,29 +22,37 @@
 
 
 class State(Enum):
-    """The states of a program, in order."""
+    """The states of a program, in order; from reloading it goes back to serving."""
 
     STARTING = "starting"  # waits for the list; /up says no
     SERVING = "serving"
+    RELOADING = "reloading"  # serves by the list in hand until discovery has answered at its new address
     LEAVING = "leaving"  # told to stop: still accepts, each answer closes its connection
     FINISHING = "finishing"  # accepts nothing, answers what it has taken
     STOPPED = "stopped"
 
 
+ReadConfig = Callable[[], tuple[Config, GearmanConfig | None]]  # raises BadConfig
+
+
 class Program:
     """Moves the assembled parts from state to state."""
 
-    def __init__(self, config: Config, gearman: GearmanConfig | None = None) -> None:
+    def __init__(self, read: ReadConfig) -> None:
         self.state = State.STARTING
-        self._config = config
+        self._read = read
+        config, gearman = read()
+        self._config = config  # as started; `_discovery` is what has changed since
+        self._gearman = gearman
+        self._discovery = config.discovery
         self._told_to_stop = asyncio.Event()
-        self._parts = Assembly(config, gearman)
+        self._parts = Assembly(config, gearman, self._settled)
         self._sessions = ClientSessions(
             self._parts.scheduler, self._parts.classes, self._is_up, self._parts.most_open
         )
 
     def _is_up(self) -> bool:
-        return self.state is State.SERVING
+        return self.state in (State.SERVING, State.RELOADING)
 
     def _enter(self, state: State) -> None:
         log.info("state %s -> %s", self.state.value, state.value)
@@ -54,6 +63,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._told_to_stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         try:
             listener = await self._start()
         except OSError:
@@ -91,6 +101,32 @@
             heard.cancel()
             stop.cancel()
 
+    def _reload(self) -> None:
+        """SIGHUP, in whichever state: what can change live does, and no req notices."""
+        try:
+            config, gearman = self._read()
+        except BadConfig as fault:
+            log.error("configuration not usable, going on with the one in force: %s", fault)
+            return
+        fixed = needs_restart(self._config, config)
+        if gearman != self._gearman:
+            fixed = (*fixed, "gearman")
+        if fixed:
+            log.warning("configuration: changed, but in force only after a restart: %s", ", ".join(fixed))
+        if config.discovery == self._discovery:
+            log.info("configuration read again: discovery stays at %s", self._discovery)
+            return
+        log.info("configuration read again: discovery moves to %s", config.discovery)
+        self._discovery = config.discovery
+        if self.state is State.SERVING:
+            self._enter(State.RELOADING)
+        self._parts.director.move(config.discovery)
+
+    def _settled(self) -> None:
+        """Discovery has answered at the address wanted last."""
+        if self.state is State.RELOADING:
+            self._enter(State.SERVING)
+
     async def _leave(self, listener: asyncio.Server) -> None:
         self._enter(State.LEAVING)
         self._sessions.wind_down()
--- a/oxbowyard/director/roster.py
+++ b/oxbowyard/director/roster.py
@@ -80,11 +80,9 @@
         self._clock = clock
         self._grace = max(drain_grace - DRAIN_MARGIN_MS, 0.0)
         self.backends: dict[str, Backend] = {}
-        self.rev: int | None = None
 
     def apply(self, change: Change, restored: bool = False) -> tuple[Scope, tuple[WorkerInfo, ...]]:
         """Take a change and say it again for the decisions."""
-        self.rev = change.rev
         named = {info.name for _, info in change.entries}
         if change.full:
             for backend in self.backends.values():
--- a/oxbowyard/director/watch.py
+++ b/oxbowyard/director/watch.py
@@ -11,7 +11,7 @@
 from yarl import URL
 
 from ..decision.facade import Scope, WorkerInfo
-from .roster import BrokenList, Roster, parse_list
+from .roster import BrokenList, Change, Roster, parse_list
 
 log = logging.getLogger("oxbowyard.director")
 
@@ -20,33 +20,16 @@
 PAUSE = 0.1  # seconds before a failed call is made again; a watch lapses after 200 ms
 
 
-class Director:
-    """The watch. `learn` is told every change, in order."""
+class _Watch:
+    """The calls to one address, beginning with the whole list."""
 
-    def __init__(
-        self,
-        address: str,
-        roster: Roster,
-        learn: Callable[[Scope, tuple[WorkerInfo, ...]], None],
-    ) -> None:
+    def __init__(self, address: str, take: Callable[[_Watch, Change], None]) -> None:
+        self.address = address
         self._base = URL(f"http://{address}/discovery/hosts")
-        self._roster = roster
-        self._learn = learn
-        self.heard = asyncio.Event()  # discovery has answered with a list
+        self._take = take
+        self._rev: int | None = None
         self._silent = False
 
-    def restore(self, known: object) -> None:
-        """Start from the list kept in the configuration, which may be old."""
-        if known is None:
-            return
-        try:
-            change = parse_list(known)
-        except BrokenList as fault:
-            log.warning("known list not usable: %s", fault)
-            return
-        self._learn(*self._roster.apply(change, restored=True))
-        self._roster.rev = None  # it may be old: the first call asks for the whole list
-
     async def run(self) -> None:
         """Watch until cancelled."""
         async with aiohttp.ClientSession(
@@ -59,10 +42,9 @@
                     await asyncio.sleep(PAUSE)
 
     async def _once(self, session: aiohttp.ClientSession) -> bool:
-        rev = self._roster.rev
         url, wait = self._base, 0.0
-        if rev is not None:
-            url, wait = url.with_query(after=rev, wait_ms=WAIT_MS), WAIT_MS / 1000
+        if self._rev is not None:
+            url, wait = url.with_query(after=self._rev, wait_ms=WAIT_MS), WAIT_MS / 1000
         try:
             async with (
                 asyncio.timeout(wait + ANSWER_WITHIN),
@@ -72,27 +54,95 @@
             if response.status != 200:
                 raise BrokenList(f"status {response.status}")
             change = parse_list(orjson.loads(body))
+            if self._rev is None and not change.full:
+                raise BrokenList("not the whole list")
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as fault:
             self._note_silence(fault)
             return False
         self._note_answer()
-        if change.entries or change.full:
-            scope, infos = self._roster.apply(change)
-            # Weights change every second: only a whole list is news by itself, and what moved is told apart.
-            level = logging.INFO if change.full else logging.DEBUG
-            log.log(level, "list rev %d, %s, %d entries", change.rev, scope.value, len(infos))
-            self._learn(scope, infos)
-        else:
-            self._roster.rev = change.rev
-        self.heard.set()
+        self._rev = change.rev
+        self._take(self, change)
         return True
 
     def _note_silence(self, fault: Exception) -> None:
         if not self._silent:  # once an outage, not once a call
-            log.warning("discovery does not answer, going on with the list in hand: %r", fault)
+            log.warning(
+                "discovery does not answer, going on with the list in hand: %s, %r", self.address, fault
+            )
         self._silent = True
 
     def _note_answer(self) -> None:
         if self._silent:
-            log.info("discovery answers again")
+            log.info("discovery answers again: %s", self.address)
         self._silent = False
+
+
+class Director:
+    """The list of backends from the address in force. `learn` is told every change, in order."""
+
+    def __init__(
+        self,
+        address: str,
+        roster: Roster,
+        learn: Callable[[Scope, tuple[WorkerInfo, ...]], None],
+        on_settled: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._roster = roster
+        self._learn = learn
+        self._on_settled = on_settled  # told when the address wanted last has answered
+        self._moves: asyncio.Queue[str] = asyncio.Queue()
+        self._moves.put_nowait(address)
+        self._watch: _Watch | None = None  # the one whose list counts
+        self._coming: _Watch | None = None  # the one that takes over with its first answer
+        self._tasks: dict[_Watch, asyncio.Task[None]] = {}
+        self.heard = asyncio.Event()  # discovery has answered with a list
+
+    def restore(self, known: object) -> None:
+        """Start from the list kept in the configuration, which may be old."""
+        if known is None:
+            return
+        try:
+            change = parse_list(known)
+        except BrokenList as fault:
+            log.warning("known list not usable: %s", fault)
+            return
+        self._learn(*self._roster.apply(change, restored=True))
+
+    def move(self, address: str) -> None:
+        """Watch another address from now on; until it has answered, the one before goes on."""
+        self._moves.put_nowait(address)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                address = await self._moves.get()
+                self._end(self._coming)  # overtaken before it answered
+                self._coming = None
+                if self._watch is not None and self._watch.address == address:
+                    self._on_settled()
+                    continue
+                self._coming = _Watch(address, self._take)
+                self._tasks[self._coming] = group.create_task(self._coming.run())
+
+    def _end(self, watch: _Watch | None) -> None:
+        if watch is not None:
+            self._tasks.pop(watch).cancel()
+
+    def _take(self, watch: _Watch, change: Change) -> None:
+        moved = watch is self._coming
+        if moved:
+            self._end(self._watch)
+            self._watch, self._coming = watch, None
+        elif watch is not self._watch:  # it answered in the moment that it was ended
+            return
+        if change.entries or change.full:
+            scope, infos = self._roster.apply(change)
+            # Weights change every second: only a whole list is news by itself, and what moved is told apart.
+            level = logging.INFO if change.full else logging.DEBUG
+            log.log(level, "list rev %d, %s, %d entries", change.rev, scope.value, len(infos))
+            self._learn(scope, infos)
+        self.heard.set()
+        if moved:
+            log.info("discovery is watched at %s", watch.address)
+            self._on_settled()
--- a/tests/player.py
+++ b/tests/player.py
@@ -1,11 +1,12 @@
 """Plays a recorded exchange against the started program: the one player of all files in exchanges/.
 
-A file is a list of lines; `#` starts a comment. Peers are named by the first word: d is discovery, s1.. are
-scan workers (listeners of the player), g.. connect to the Gearman front, and c.. to the HTTP front.
+A file is a list of lines; `#` starts a comment. Peers are named by the first word: d and d2 are discovery,
+s1.. are scan workers (listeners of the player), g.. connect to the Gearman front, and c.. to the HTTP front.
 
     start [gearman[:NAME=VALUE]] ...    start the program; settings may be changed by dotted names,
                                       and known=JSON is the list kept from before
-    list / tell JSON                  discovery answers the call that waits for it ($s1 is s1's address)
+    list / tell [d2] JSON             discovery answers the call that waits for it ($s1 is s1's address)
+    reload NAME=JSON ... | TEXT       replace fields of the configuration, or all of it, and send SIGHUP
     PEER connect|accept|close|reset   open, take or end a connection (idle: nothing came; eof: it ended)
     PEER > TEXT / PEER < TEXT         send, or receive and compare; with no text a block up to a line `.`
     PEER chunk TEXT                   send a chunk of a body (no text: the last one)
@@ -163,9 +164,10 @@
     def __init__(self, path: Path, folder: Path) -> None:
         self.lines = iter(enumerate(path.read_text().splitlines(), 1))
         self.folder = folder
-        self.peers = {name: Peer(listens=True) for name in ("d", "s1", "s2")}
+        self.peers = {name: Peer(listens=True) for name in ("d", "d2", "s1", "s2")}
         self.kept: dict[str, str] = {}
         self.program: Program | None = None
+        self.config: dict[str, Any] = {}
 
     def play(self) -> None:
         try:
@@ -194,6 +196,8 @@
             self._start(rest.split())
         elif word in ("list", "tell"):
             self._tell(rest)
+        elif word == "reload":
+            self._reload(rest)
         elif word in ("log", "stop", "exit"):
             self._process(word, rest)
         else:
@@ -224,10 +228,23 @@
             "name": "n1", "listen": "127.0.0.1:0", "discovery": self.peers["d"].address, "seed": "1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings, **known,
         }  # fmt: skip
+        self.config = config
         self.program = Program(config, self.folder, options)
 
+    def _reload(self, rest: str) -> None:
+        assert self.program
+        text = rest
+        if re.match(r"\w+=", rest):
+            pairs = (word.partition("=") for word in self._with_addresses(rest).split())
+            text = json.dumps(self.config | {name: json.loads(value) for name, _, value in pairs})
+        (self.folder / "config.json").write_text(text)
+        self.program.process.send_signal(signal.SIGHUP)
+
     def _tell(self, rest: str) -> None:
-        peer = self.peers["d"]
+        name, _, other = rest.partition(" ")
+        if name in self.peers:
+            rest = other
+        peer = self.peers[name if name in self.peers else "d"]
         if peer.connection is None:
             peer.accept()
         assert peer.http().startswith("GET /discovery/hosts")
