Phases and bounds for client connections; errors by bytes, drained; fresh fetches for accessions

Nothing bounded a head (library: 128 x 8 KiB a connection), a silent connection stayed for an hour, a body had 5 s, more than the 3 s owed. Not refused before: repeated Req-Id, Req-Kind, Req-Deadline, and a deadline of 31 years. After an error the connection closed with bytes unread, so a client that sends 16 MB saw a reset. Kept backend connections are bounded; a class that must not run twice gets a fresh one, since a stale one counts as run.

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Collection, Mapping
 
 import aiohttp
 from yarl import URL
@@ -29,16 +29,31 @@
     """The scan workers of the roster."""
 
     def __init__(
-        self, roster: Roster, load_names: Mapping[str, str], connect_timeout: float, connect_idle: float
+        self,
+        roster: Roster,
+        load_names: Mapping[str, str],
+        connect_timeout: float,
+        connect_idle: float,
+        most_kept: int = 100,
+        once: Collection[str] = (),
     ) -> None:
         self._roster = roster
         self._load_names = load_names
         self._tails: set[asyncio.Task[None]] = set()
-        self._session = aiohttp.ClientSession(
-            # The core bounds the reqs and so the connections: a limit here would be a hidden queue.
-            connector=aiohttp.TCPConnector(
-                limit=0, limit_per_host=0, keepalive_timeout=connect_idle / 1000 * IDLE_SHARE
-            ),
+        self._most_kept = most_kept
+        self._once = once  # classes that must not run twice
+        self._out = 0  # fetches on connections that are kept afterwards
+        # The core bounds the reqs and so the connections: a limit here would be a hidden queue.
+        self._pool = aiohttp.TCPConnector(
+            limit=0, limit_per_host=0, keepalive_timeout=connect_idle / 1000 * IDLE_SHARE
+        )
+        self._kept = self._session(self._pool, connect_timeout)
+        self._fresh = self._session(aiohttp.TCPConnector(limit=0, force_close=True), connect_timeout)
+
+    @staticmethod
+    def _session(connector: aiohttp.BaseConnector, connect_timeout: float) -> aiohttp.ClientSession:
+        return aiohttp.ClientSession(
+            connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout / 1000),
             auto_decompress=False,
@@ -51,7 +66,13 @@
         """Close every connection."""
         for task in self._tails:
             task.cancel()
-        await self._session.close()
+        await self._kept.close()
+        await self._fresh.close()
+
+    def _room_in_pool(self) -> bool:
+        """Whether one more connection may be kept: each holds a descriptor, and the library has no bound."""
+        idle = sum(map(len, self._pool._conns.values()))
+        return idle + self._out < self._most_kept
 
     async def fetch(self, backend: str, req: Req, notes: FetchNotes) -> Ending:
         """One fetch, from connect to the last line."""
@@ -59,8 +80,21 @@
         if address is None:
             return Ending(Result.NOT_SENT, reason="backend is leaving or unknown")
         url = URL(f"http://{address}{req.target}", encoded=True)
+        # A kept connection may be stale, if its backend was restarted or cut off meanwhile, and what is
+        # written to it may have run: only what may be repeated goes there.
+        if req.job_class in self._once or not self._room_in_pool():
+            return await self._fetch(self._fresh, url, backend, req, notes)
+        self._out += 1
+        try:
+            return await self._fetch(self._kept, url, backend, req, notes)
+        finally:
+            self._out -= 1
+
+    async def _fetch(
+        self, session: aiohttp.ClientSession, url: URL, backend: str, req: Req, notes: FetchNotes
+    ) -> Ending:
         try:
-            response = await self._session.post(
+            response = await session.post(
                 url,
                 data=self._body(backend, req, notes),
                 headers=_headers(req, notes),
--- /dev/null
+++ b/oxbowyard/clients/connection.py
@@ -0,0 +1,235 @@
+"""One client's connection: what phase it is in, and how long it may stay there."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from enum import Enum
+from http import HTTPStatus
+from typing import Protocol
+
+from aiohttp import StreamReader, web
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
+
+from .limits import (
+    DRAIN_WITHIN,
+    KEPT_FOR,
+    MOST_AHEAD,
+    MOST_FIELD,
+    MOST_FIELDS,
+    MOST_HEAD,
+    READ_AT_ONCE,
+    REQUEST_WITHIN,
+    TAKEN_WITHIN,
+)
+
+END_SEEN_WITHIN = 0.02  # seconds after which an end of the client's sending is taken for its leaving
+
+
+class Phase(Enum):
+    """What a connection is doing."""
+
+    SILENT = "silent"  # connected, nothing has come
+    UNFINISHED = "unfinished"  # a request has begun and is not whole
+    OWED = "owed"  # a whole request came: its answer is owed, or on its way
+    KEPT = "kept"  # between requests
+    DRAINING = "draining"  # answered with an error: what still comes is dropped
+
+
+class Owner(Protocol):
+    """What a connection needs of those who hold all of them."""
+
+    counts: Counter[str]
+
+    def left(self, connection: Connection) -> None:
+        """The connection has ended."""
+
+
+class Connection(RequestHandler):
+    """The library's connection with limits of our own.
+
+    One that ends within a body is told so; any other end means that the client went.
+    """
+
+    __slots__ = (
+        "_ahead", "_alarm", "_answered", "_drained", "_head", "_owner",
+        "ended", "finish_by", "phase", "reading", "since",
+    )  # fmt: skip
+
+    def __init__(self, manager: web.Server, owner: Owner) -> None:
+        super().__init__(
+            manager,
+            loop=asyncio.get_running_loop(),
+            access_log=None,  # type: ignore[arg-type]  # documented, and off is what it means
+            max_field_size=MOST_FIELD,
+            max_headers=MOST_FIELDS,
+            auto_decompress=False,  # a body passes on as it came
+            lingering_time=0.0,  # what is left of a body is dropped here, not parsed
+        )
+        self._owner = owner
+        self._alarm: asyncio.TimerHandle | None = None
+        self._answered = 0  # requests, broken ones too, whose answer was written
+        self._head = 0  # bytes of a head that has no end yet
+        self._ahead = 0  # bytes that came before the answer that is owed
+        self._drained: asyncio.Future[None] | None = None
+        self.reading: StreamReader | None = None
+        self.ended = False
+        self.phase = Phase.SILENT
+        self.since = self._loop.time()
+        self.finish_by = self.since + REQUEST_WITHIN  # when the request that comes must be whole
+
+    # ---- Phases ----
+
+    def _enter(self, phase: Phase, alarm_at: float | None = None) -> None:
+        self.phase = phase
+        self.since = self._loop.time()
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._alarm = None if alarm_at is None else self._loop.call_at(alarm_at, self._late)
+
+    def whole(self) -> None:
+        """The request that was read is whole: from here on its answer is owed, however long that takes."""
+        self._enter(Phase.OWED)
+
+    def _late(self) -> None:
+        self._alarm = None
+        if self.phase is Phase.UNFINISHED and self._pending:
+            return  # its body has a timer of its own, set to the same moment
+        self._owner.counts[f"late while {self.phase.value}"] += self.phase is not Phase.KEPT
+        self.dismiss()
+
+    @property
+    def _pending(self) -> bool:
+        """A head that was whole has no answer yet."""
+        return self._request_count > self._answered
+
+    def dismiss(self) -> None:
+        """End the connection; a client in the middle of its request is told why."""
+        if self.phase is Phase.UNFINISHED and not self._pending:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        elif self.phase is Phase.OWED and self.transport is not None:
+            self.transport.abort()  # the answer was not read: nothing more can be said
+        else:
+            self.force_close()
+
+    def yield_place(self) -> None:
+        """Close now, for another: its descriptor is wanted."""
+        if self.phase is Phase.UNFINISHED and not self._pending and self.transport is not None:
+            self.transport.write(_plain(HTTPStatus.REQUEST_TIMEOUT))
+        self.force_close()
+
+    # ---- What the transport tells ----
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # The transport's own size would let one client hold four times as much at a time, and the loop.
+        transport.max_size = READ_AT_ONCE  # type: ignore[attr-defined]
+        super().connection_made(transport)
+        self._enter(Phase.SILENT, self.finish_by)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._end_drain()
+        self._owner.left(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if self.phase is Phase.DRAINING:
+            return
+        if self.phase is Phase.SILENT:
+            self._enter(Phase.UNFINISHED, self.finish_by)
+        elif self.phase is Phase.KEPT and data:  # the library may call this with none, to parse what waits
+            self.finish_by = self._loop.time() + REQUEST_WITHIN
+            self._enter(Phase.UNFINISHED, self.finish_by)
+        super().data_received(data)
+        if self.phase is Phase.OWED:
+            self._ahead += len(data)
+            if self._ahead > MOST_AHEAD and self.transport is not None:
+                self.transport.pause_reading()
+        if self.phase is not Phase.UNFINISHED or self._pending:
+            self._head = 0
+            return
+        self._head += len(data)
+        if self._head > MOST_HEAD:
+            self._owner.counts["head too long"] += 1
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def eof_received(self) -> bool | None:  # type: ignore[override]
+        if self.phase is Phase.DRAINING:
+            self._end_drain()
+            return False
+        # The way back stays open for a 400. The end may come in one read with the head, before the handler
+        # has seen that; a moment later, an end that broke no body off means that the client went.
+        self.ended = True
+        if not self.break_off():
+            self._loop.call_later(END_SEEN_WITHIN, self._went)
+        return True
+
+    def break_off(self) -> bool:
+        """Tell the reader of a body that the rest of it will not come."""
+        if not self.ended or self.reading is None or self.reading.is_eof():
+            return False
+        self.reading.set_exception(web.RequestPayloadError("ended within its body"))
+        return True
+
+    def _went(self) -> None:
+        if self.reading is None and self.transport is not None and self.phase is not Phase.DRAINING:
+            self.transport.close()
+
+    # ---- Answers ----
+
+    async def finish_response(
+        self, request: BaseRequest, resp: StreamResponse, start_time: float | None
+    ) -> tuple[StreamResponse, bool]:
+        """Write an answer; after an error, take what the client still sends before the connection closes."""
+        faulty = 400 <= resp.status < 500 or not request.content.is_eof()
+        if faulty:  # whatever follows on this connection can't be trusted to be a request
+            resp.force_close()
+            self._owner.counts["bad requests"] += 1
+        self._enter(Phase.OWED, self._loop.time() + TAKEN_WITHIN)
+        result = await super().finish_response(request, resp, start_time)
+        self._answered += 1
+        if faulty and self.transport is not None and not self.ended:
+            self._drained = self._loop.create_future()
+            self._drain()
+            await self._drained
+        elif resp.keep_alive:
+            self._rest()
+        return result
+
+    def _rest(self) -> None:
+        now = self._loop.time()
+        if self._ahead > MOST_AHEAD and self.transport is not None:
+            self.transport.resume_reading()
+        self._ahead = 0
+        if self._pending:  # the next request came before its turn
+            self.finish_by = now + REQUEST_WITHIN
+            self._enter(Phase.UNFINISHED, self.finish_by)
+        else:
+            self._enter(Phase.KEPT, now + KEPT_FOR)
+
+    def _reject(self, status: HTTPStatus) -> None:
+        """An error for what never became a request, so that the library has nothing to answer."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.transport.write(_plain(status))
+        self._drain()
+
+    def _drain(self) -> None:
+        """Our side is closed after the error; closing both at once would reset a client that still sends."""
+        assert self.transport is not None
+        self._enter(Phase.DRAINING, self._loop.time() + DRAIN_WITHIN)
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.transport.resume_reading()  # it may stand still, for a body that nobody reads any more
+
+    def _end_drain(self) -> None:
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+
+
+def _plain(status: HTTPStatus) -> bytes:
+    line = f"HTTP/1.1 {status.value} {status.phrase}"
+    return f"{line}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode()
--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -4,85 +4,109 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection
+from collections import Counter
+from collections.abc import Callable, Collection, Iterator
+from contextlib import contextmanager, nullcontext
 
-from aiohttp import StreamReader, web
-from aiohttp.web_protocol import RequestHandler
+from aiohttp import web
 from aiohttp.web_request import BaseRequest
 
 from ..core.req import Kind
 from ..core.scheduler import Scheduler
-from .wording import MOST_BODY, STATUS, Fault, answer_headers, read_class, read_req, read_target
+from .connection import Connection, Phase
+from .limits import MOST_BODY, REQUEST_WITHIN, SHORT, SLOW, UNUSED, YOUNG
+from .wording import STATUS, Fault, answer_headers, read_class, read_req, read_target, single
 
 log = logging.getLogger("oxbowyard.clients")
 
-END_SEEN_WITHIN = 0.02  # seconds after which an end of the client's sending is taken for its leaving
-BODY_WITHIN = 5.0  # seconds for a request's body to come
-LONGEST_END = 60.0  # seconds that a connection past the bound may still take for its answer
+LONGEST_END = 60.0  # seconds that a connection may still take for its answer when all are closed
 
+# Who goes first when room is needed, each after so long in its phase; of several, the one longest in it.
+# Never one whose answer is owed. A request may be written slowly, a kept connection be in use again at once.
+YIELDS = (
+    (Phase.DRAINING, 0.0),
+    (Phase.SILENT, YOUNG),
+    (Phase.KEPT, UNUSED),
+    (Phase.UNFINISHED, SLOW),
+    (Phase.KEPT, SHORT),
+    (Phase.UNFINISHED, SHORT),
+)
 
-class _Connection(RequestHandler):
-    """A client's connection. One that ends within a body is told so; any other end means the client went."""
 
-    __slots__ = ("ended", "reading")
+class Bodies:
+    """The bytes of all bodies that are held, from when one is announced until its answer is known."""
 
-    def __init__(self, manager: web.Server) -> None:
-        super().__init__(
-            manager,
-            loop=asyncio.get_running_loop(),
-            access_log=None,  # type: ignore[arg-type]  # documented, and off is what it means
-            auto_decompress=False,  # a body passes on as it came
-            lingering_time=0.0,
-        )
-        self.reading: StreamReader | None = None
-        self.ended = False
-
-    def eof_received(self) -> bool | None:  # type: ignore[override]
-        # The way back stays open for a 400. The end may come in one read with the head, before the handler
-        # has seen that; a moment later, an end that broke no body off means that the client went.
-        self.ended = True
-        if not self.break_off():
-            asyncio.get_running_loop().call_later(END_SEEN_WITHIN, self._went)
-        return True
-
-    def break_off(self) -> bool:
-        """Tell the reader of a body that the rest of it will not come."""
-        if not self.ended or self.reading is None or self.reading.is_eof():
-            return False
-        self.reading.set_exception(web.RequestPayloadError("ended within its body"))
-        return True
-
-    def _went(self) -> None:
-        if self.reading is None and self.transport is not None:
-            self.transport.close()
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._held = 0
+
+    @contextmanager
+    def hold(self, size: int) -> Iterator[None]:
+        """Hold so much; there is no room for it if that is past the bound."""
+        if self._held + size > self._most:
+            raise Fault(503, "too much is held already")
+        self._held += size
+        try:
+            yield
+        finally:
+            self._held -= size
 
 
 class ClientSessions:
     """Takes requests off the clients' connections and answers them."""
 
     def __init__(
-        self, scheduler: Scheduler, classes: Collection[str], is_up: Callable[[], bool], most: int
+        self,
+        scheduler: Scheduler,
+        classes: Collection[str],
+        is_up: Callable[[], bool],
+        most: int,
+        most_bytes: int,
     ) -> None:
         self._scheduler = scheduler
         self._classes = classes
         self._is_up = is_up
         self._most = most
+        self._bodies = Bodies(most_bytes)
         self._closing = False
-        self._ending: dict[RequestHandler, asyncio.Task[None]] = {}
+        self._open: dict[Connection, None] = {}  # oldest first
+        self._ending: dict[Connection, asyncio.Task[None]] = {}
+        self.counts: Counter[str] = Counter()  # of what no line is logged for
         self.server = web.Server(
             self._handle,
             handler_cancellation=True,  # a client that goes ends the wait for its answer
         )
 
     def make_connection(self) -> asyncio.Protocol:
-        """A new connection; past the bound, the oldest is closed as soon as it is between requests."""
-        connections = [c for c in self.server.connections if c not in self._ending]
-        if len(connections) >= self._most:
-            log.warning("%d client connections, closing the oldest", len(connections))
-            self._end(connections[0], LONGEST_END)
-        return _Connection(self.server)
-
-    def _end(self, connection: RequestHandler, within: float) -> None:
+        """For a new connection; `room` said that there is room for it."""
+        connection = Connection(self.server, self)
+        self._open[connection] = None
+        return connection
+
+    def left(self, connection: Connection) -> None:
+        """A connection has ended."""
+        self._open.pop(connection, None)
+
+    @property
+    def free(self) -> int:
+        """How many more connections may come."""
+        return max(self._most - len(self._open), 0)
+
+    def make_room(self) -> bool:
+        """Close the connection that is needed least; its descriptor is free a moment later."""
+        now = asyncio.get_running_loop().time()
+        for phase, after in YIELDS:
+            least = min((c for c in self._open if c.phase is phase), key=lambda c: c.since, default=None)
+            if least is not None and now - least.since >= after:
+                self.counts["closed for room"] += 1
+                least.yield_place()
+                self.left(least)
+                return True
+            if least is not None and phase is Phase.SILENT:  # its turn comes in a moment: no other has to go
+                return False
+        return False
+
+    def _end(self, connection: Connection, within: float) -> None:
         # Only both together do: close() alone leaves an idle connection open, and shutdown()
         # alone waits on an idle connection as if it were busy.
         connection.close()
@@ -96,7 +120,7 @@
 
     async def close(self, within: float) -> None:
         """Close every connection once the answer on it, if one is owed, is written."""
-        for connection in self.server.connections:
+        for connection in list(self._open):
             if connection not in self._ending:
                 self._end(connection, within)
         await asyncio.gather(*self._ending.values(), return_exceptions=True)
@@ -119,7 +143,7 @@
         target = request.raw_path
         if target.partition("?")[0] == "/up":
             return self._up(request)
-        return await schedule(request, self._scheduler, self._classes)
+        return await schedule(request, self._scheduler, self._classes, self._bodies)
 
     def _up(self, request: BaseRequest) -> web.StreamResponse:
         if request.method not in ("GET", "HEAD"):
@@ -128,14 +152,20 @@
         return web.Response(status=200 if up else 503, text="up\n" if up else "not up\n")
 
 
-async def schedule(request: BaseRequest, scheduler: Scheduler, classes: Collection[str]) -> web.Response:
+async def schedule(
+    request: BaseRequest, scheduler: Scheduler, classes: Collection[str], bodies: Bodies | None = None
+) -> web.Response:
     """One request, from its head to its answer; raises Fault for what is no proper request."""
     # Before the body is read: a request for nowhere is answered at once, however long its body is.
     path, _ = read_target(request.raw_path)
-    read_class(path, request.headers.get("Req-Kind"), request.method, classes)
-    payload = await _read_body(request)
-    req = read_req(request.method, request.raw_path, request.headers, payload, classes)
-    answer = await scheduler.serve(req)
+    read_class(path, single(request.headers, "Req-Kind"), request.method, classes)
+    size = MOST_BODY if request.content_length is None else request.content_length
+    if size > MOST_BODY:
+        raise Fault(413, "a body holds 64 KiB at most")
+    with bodies.hold(size) if bodies else nullcontext():
+        payload = await _read_body(request)
+        req = read_req(request.method, request.raw_path, request.headers, payload, classes)
+        answer = await scheduler.serve(req)
     body = answer.body if answer.kind is Kind.SERVED else answer.reason.encode()
     return web.Response(status=STATUS[answer.kind], headers=answer_headers(answer), body=body)
 
@@ -151,16 +181,16 @@
 
 
 async def _read_body(request: BaseRequest) -> bytes:
-    if (request.content_length or 0) > MOST_BODY:
-        raise Fault(413, "a body holds 64 KiB at most")
     body = bytearray()
     # Elsewhere, as in an application with our middleware, the library's own connection ends with the body.
-    connection = request.protocol if isinstance(request.protocol, _Connection) else None
+    connection = request.protocol if isinstance(request.protocol, Connection) else None
+    finish_by = asyncio.get_running_loop().time() + REQUEST_WITHIN
     if connection is not None:
+        finish_by = connection.finish_by
         connection.reading = request.content
         connection.break_off()
     try:
-        async with asyncio.timeout(BODY_WITHIN):
+        async with asyncio.timeout_at(finish_by):
             while piece := await request.content.readany():
                 body += piece
                 if len(body) > MOST_BODY:
@@ -172,4 +202,6 @@
     finally:
         if connection is not None:
             connection.reading = None
+    if connection is not None:
+        connection.whole()
     return bytes(body)
--- a/oxbowyard/clients/wording.py
+++ b/oxbowyard/clients/wording.py
@@ -7,9 +7,11 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qs
 
+from multidict import MultiMapping
+
 from ..core.req import Answer, Kind, Req
+from .limits import MOST_DEADLINE
 
-MOST_BODY = 64 * 1024
 ID_FORM = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:~-]{0,127}", re.ASCII)
 DEADLINE_FORM = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])", re.ASCII)
 TARGET_FORM = re.compile(r"/(?:[!-~]*)", re.ASCII)
@@ -25,6 +27,14 @@
     text: str
 
 
+def single(headers: MultiMapping[str], name: str) -> str | None:
+    """A header that must not come twice: who reads the first and who the last would differ about it."""
+    values = headers.getall(name, [])
+    if len(values) > 1:
+        raise Fault(400, f"{name} is repeated")
+    return values[0] if values else None
+
+
 def read_class(path: str, kind: str | None, method: str, classes: Collection[str]) -> str:
     """The class, which the path and Req-Kind both name."""
     name = path[1:].split("/", 1)[0]
@@ -50,7 +60,7 @@
     """How many seconds the client will wait."""
     form = DEADLINE_FORM.fullmatch(text or "")
     patience = float(form[1]) * UNITS[form[2]] if form else 0.0
-    if patience <= 0:
+    if not 0 < patience <= MOST_DEADLINE:
         raise Fault(400, "Req-Deadline is missing or malformed")
     return patience
 
@@ -87,21 +97,21 @@
 
 
 def read_req(
-    method: str, target: str, headers: Mapping[str, str], body: bytes, classes: Collection[str]
+    method: str, target: str, headers: MultiMapping[str], body: bytes, classes: Collection[str]
 ) -> Req:
     """The whole request as the core takes it."""
     path, query = read_target(target)
-    name = read_class(path, headers.get("Req-Kind"), method, classes)
-    extras = read_extras(headers.get("Req-Extra"))
+    name = read_class(path, single(headers, "Req-Kind"), method, classes)
+    extras = read_extras(single(headers, "Req-Extra"))
     return Req(
-        id=read_id(headers.get("Req-Id")),
+        id=read_id(single(headers, "Req-Id")),
         job_class=name,
-        patience=read_deadline(headers.get("Req-Deadline")),
+        patience=read_deadline(single(headers, "Req-Deadline")),
         target=target,
         payload=body,
         key=parse_qs(query).get("obj", [None])[0],
         slots=read_slots(extras),
-        is_retry=headers.get("Req-Retry") == "1",
+        is_retry=single(headers, "Req-Retry") == "1",
         extras=extras,
     )
 
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ..backends.http import HttpBackends
@@ -14,7 +14,7 @@
 from ..core.req import BackendTransport, RoutedTransport
 from ..core.scheduler import Limits, Scheduler
 from ..decision.facade import Facade
-from ..decision.interface import Settings
+from ..decision.interface import Repeat, Settings
 from ..director.roster import Roster
 from ..director.watch import Director
 from ..gearman.config import KIND, GearmanConfig
@@ -25,7 +25,26 @@
 
 log = logging.getLogger("oxbowyard.daemon")
 
-SPARE_SOCKETS = 96  # for listeners, discovery, files and connections that change hands
+SPARE_SOCKETS = 24  # standard streams, listeners, the loop's own, discovery's connections, a file being read
+# The rest of the descriptors is shared out. At most a third of all are held by clients for requests, and each
+# of these takes one more for its fetch. The rest is for clients that ask for nothing and backends' kept ones.
+REQS_SHARE, KEPT_SHARE = 0.37, 0.2
+
+
+@dataclass(slots=True, frozen=True)
+class Room:
+    """How many of each the descriptors allow."""
+
+    reqs: int
+    clients: int
+    kept: int  # connections to backends between fetches
+
+    @classmethod
+    def of(cls, sockets: int, most_held: int, gearman: int = 0) -> Room:
+        """Share out the descriptors."""
+        rest = max(sockets - SPARE_SOCKETS - gearman, 5)
+        reqs, kept = int(rest * REQS_SHARE), int(rest * KEPT_SHARE)
+        return cls(max(min(reqs, most_held), 1), rest - reqs - kept, kept)
 
 
 class Assembly:
@@ -43,18 +62,21 @@
         settings = _with_functions(config.settings, gearman)
         self.measure = ServiceMeasure(settings.classes, config.by_work)
         self.roster = Roster(clock, settings.drain_grace)
+        self.room = Room.of(config.sockets, config.most_held, gearman.max_connections if gearman else 0)
         self.backends = HttpBackends(
-            self.roster, config.load_names, settings.connect_timeout, settings.connect_idle
+            self.roster,
+            config.load_names,
+            settings.connect_timeout,
+            settings.connect_idle,
+            self.room.kept,
+            frozenset(c.name for c in settings.classes if c.repeat is not Repeat.FREE),
         )
         workers = Workers(gearman) if gearman else None
         transport: BackendTransport = self.backends
         if workers:
             transport = RoutedTransport(self.backends, {KIND: workers})
-        # Each open req may hold a client's connection and a backend's, a Gearman peer one more.
-        room = config.sockets - SPARE_SOCKETS - (gearman.max_connections if gearman else 0)
-        self.most_open = max(min(config.most_held, room // 2), 1)
         facade = Facade(settings, config.seed, clock)
-        limits = Limits(open_reqs=self.most_open)
+        limits = Limits(open_reqs=self.room.reqs)
         self.scheduler = Scheduler(settings, facade, transport, clock, self.measure, limits)
         self.director = Director(config.discovery, self.roster, self.scheduler.learn, on_settled)
         self.gearman: GearmanFront | None = None
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from enum import Enum
 
+from ..clients.gate import Gate
+from ..clients.limits import BODIES_SHARE
 from ..clients.session import ClientSessions
 from ..gearman.config import GearmanConfig
 from .assembly import Assembly
@@ -48,7 +50,11 @@
         self._told_to_stop = asyncio.Event()
         self._parts = Assembly(config, gearman, self._settled)
         self._sessions = ClientSessions(
-            self._parts.scheduler, self._parts.classes, self._is_up, self._parts.most_open
+            self._parts.scheduler,
+            self._parts.classes,
+            self._is_up,
+            self._parts.room.clients,
+            int(config.memory_mb * BODIES_SHARE * (1 << 20)),
         )
 
     def _is_up(self) -> bool:
@@ -65,7 +71,7 @@
             loop.add_signal_handler(number, self._told_to_stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         try:
-            listener = await self._start()
+            gate = await self._start()
         except OSError:
             await self._parts.close()
             raise
@@ -73,21 +79,18 @@
         if not self._told_to_stop.is_set():
             self._enter(State.SERVING)
         await self._told_to_stop.wait()
-        await self._leave(listener)
+        await self._leave(gate)
         return 0
 
-    async def _start(self) -> asyncio.Server:
-        listener = await asyncio.get_running_loop().create_server(
-            self._sessions.make_connection, self._config.host, self._config.port, backlog=256
-        )
-        host, port = listener.sockets[0].getsockname()[:2]
-        log.info("http listens on %s:%d", host, port)
+    async def _start(self) -> Gate:
+        gate = Gate(self._config.host, self._config.port, self._sessions)
         if self._parts.gearman:
             await self._parts.gearman.listen()
         self._parts.start()
         self._parts.add_chore(self._watch_lag())
         self._parts.add_chore(self._tell())
-        return listener
+        gate.open()
+        return gate
 
     async def _wait_for_list(self) -> None:
         """Up once discovery has answered; when it is silent, the list kept from before has to do."""
@@ -127,12 +130,12 @@
         if self.state is State.RELOADING:
             self._enter(State.SERVING)
 
-    async def _leave(self, listener: asyncio.Server) -> None:
+    async def _leave(self, gate: Gate) -> None:
         self._enter(State.LEAVING)
         self._sessions.wind_down()
         await asyncio.sleep(ACCEPT_ON)
         self._enter(State.FINISHING)
-        listener.close()
+        gate.close()
         if self._parts.gearman:
             self._parts.gearman.wind_down()
         longest = max(c.deadline for c in self._config.settings.classes) / 1000
@@ -153,3 +156,6 @@
         while True:
             await asyncio.sleep(REPORT_EVERY)
             log.info("%s", self._parts.summary())
+            if self._sessions.counts:
+                told = ", ".join(f"{what} {n}" for what, n in self._sessions.counts.items() if n)
+                log.info("bad clients so far: %s", told)
--- a/tests/player.py
+++ b/tests/player.py
@@ -4,11 +4,15 @@
 s1.. are scan workers (listeners of the player), g.. connect to the Gearman front, and c.. to the HTTP front.
 
     start [gearman[:NAME=VALUE]] ...    start the program; settings may be changed by dotted names,
-                                      and known=JSON is the list kept from before
+                                      known=JSON is the list kept from before, limits=JSON the limits
     list / tell [d2] JSON             discovery answers the call that waits for it ($s1 is s1's address)
     reload NAME=JSON ... | TEXT       replace fields of the configuration, or all of it, and send SIGHUP
     PEER connect|accept|close|reset   open, take or end a connection (idle: nothing came; eof: it ended)
     PEER > TEXT / PEER < TEXT         send, or receive and compare; with no text a block up to a line `.`
+    PEER crowd N / PEER disperse      open N connections that say nothing, or close them
+    within S                          no more than S seconds have passed since a client connected first
+    nofile N                          leave the program so many descriptors
+    PEER status CODE                  receive an answer of that status, and a close with it if it is an error
     PEER chunk TEXT                   send a chunk of a body (no text: the last one)
     PEER > REQ 7 a|b|c                a Gearman packet; {x} keeps what stands there, later it must be the same
     log TEXT / stop / exit CODE       wait for a line of the log, send SIGTERM, wait for the exit
@@ -19,12 +23,14 @@
 import json
 import os
 import re
+import resource
 import signal
 import socket
 import struct
 import subprocess
 import sys
 import threading
+import time
 from pathlib import Path
 from typing import Any
 
@@ -88,6 +94,7 @@
     def __init__(self, listens: bool) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0)) if listens else None
         self.connection: socket.socket | None = None
+        self.crowd: list[socket.socket] = []
         self.buffer = b""
 
     @property
@@ -150,6 +157,10 @@
                 side.settimeout(PATIENCE)
         return not self.buffer
 
+    def disperse(self) -> None:
+        while self.crowd:
+            self.crowd.pop().close()
+
     def end(self, reset: bool = False) -> None:
         if self.connection:
             if reset:
@@ -168,6 +179,7 @@
         self.kept: dict[str, str] = {}
         self.program: Program | None = None
         self.config: dict[str, Any] = {}
+        self.started = 0.0
 
     def play(self) -> None:
         try:
@@ -185,6 +197,7 @@
         """Leave nothing open."""
         for peer in self.peers.values():
             peer.end()
+            peer.disperse()
             if peer.listener:
                 peer.listener.close()
         if self.program:
@@ -198,7 +211,10 @@
             self._tell(rest)
         elif word == "reload":
             self._reload(rest)
-        elif word in ("log", "stop", "exit"):
+        elif word == "within":
+            taken = time.monotonic() - self.started
+            assert taken < float(rest), f"it took {taken:.1f} s"
+        elif word in ("log", "stop", "exit", "nofile"):
             self._process(word, rest)
         else:
             what, _, text = rest.partition(" ")
@@ -219,7 +235,7 @@
                 continue
             name, _, value = word.partition("=")
             *path, last = name.split(".")
-            place: Any = known if name == "known" else settings
+            place: Any = known if name in ("known", "limits") else settings
             value = self._with_addresses(value)
             for part in path:
                 place = place[int(part) if part.isdecimal() else part]
@@ -261,6 +277,8 @@
             self.program.wait_for(rest)
         elif word == "stop":
             self.program.process.send_signal(signal.SIGTERM)
+        elif word == "nofile":
+            resource.prlimit(self.program.process.pid, resource.RLIMIT_NOFILE, (int(rest), int(rest)))
         else:
             assert self.program.process.wait(PATIENCE) == int(rest)
 
@@ -269,6 +287,7 @@
         if what == "connect":
             assert self.program
             front = "gearman" if name.startswith("g") else "http"
+            self.started = self.started or time.monotonic()
             peer.use(socket.create_connection(self.program.address(front), PATIENCE))
         elif what == "accept":
             peer.accept()
@@ -277,6 +296,17 @@
         elif what == "half":
             assert peer.connection
             peer.connection.shutdown(socket.SHUT_WR)
+        elif what == "crowd":
+            assert self.program
+            where = self.program.address("gearman" if name.startswith("g") else "http")
+            peer.crowd += [socket.create_connection(where, PATIENCE) for _ in range(int(text))]
+        elif what == "disperse":
+            peer.disperse()
+        elif what == "status":
+            got = peer.http()
+            assert re.match(rf"HTTP/1\.[01] {text} ", got), got
+            closes = got.startswith("HTTP/1.0") or "\nConnection: close\n" in got
+            assert closes or int(text) < 400, got
         elif what == "idle":
             assert peer.idle(), "something came"
         elif what == "chunk":
@@ -310,7 +340,8 @@
             head = struct.pack(">4sII", b"\0" + form[1].encode(), int(form[2]), len(packed))
             peer.connection.sendall(head + packed)
         elif text:
-            text = text.replace("{kib64}", "x" * 65536)
+            text = text.replace("{kib64}", "x" * 65536).replace("{mib16}", "x" * (16 << 20))
+            text = text.replace("{kib2}", "x" * 2048)
             peer.connection.sendall(text.encode().decode("unicode_escape").encode("latin-1"))
         else:
             start, _, body = self._filled(self._block()).partition("\n\n")
--- a/tests/test_descriptions.py
+++ b/tests/test_descriptions.py
@@ -13,7 +13,8 @@
 from player import ROOT
 
 from oxbowyard.backends.lines import LAST, LineReader
-from oxbowyard.clients.wording import DEADLINE_FORM, ID_FORM, MOST_BODY, STATUS
+from oxbowyard.clients.limits import MOST_BODY
+from oxbowyard.clients.wording import DEADLINE_FORM, ID_FORM, STATUS
 from oxbowyard.decision.facade import Result
 
 OPENAPI: dict[str, Any] = json.loads((ROOT / "api/openapi.json").read_text())
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,99 @@
+"""What one process holds fits the descriptors that the configuration states."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections import Counter
+
+import pytest
+
+from oxbowyard.backends.http import HttpBackends
+from oxbowyard.clients.gate import Gate
+from oxbowyard.clients.limits import ACCEPT_AGAIN
+from oxbowyard.clients.session import Bodies
+from oxbowyard.clients.wording import Fault
+from oxbowyard.core.req import FetchNotes, Req
+from oxbowyard.daemon.assembly import SPARE_SOCKETS, Room
+from oxbowyard.decision.facade import Result
+from oxbowyard.director.roster import Roster, parse_list
+
+
+@pytest.mark.parametrize("sockets", [256, 384, 512, 1024])
+def test_the_descriptors_are_enough_for_all_at_once(sockets: int) -> None:
+    room = Room.of(sockets, 20_000)
+    assert SPARE_SOCKETS + room.clients + room.reqs + room.kept <= sockets
+    assert room.reqs >= sockets // 3 and room.clients > room.reqs  # a third is held by clients for requests
+    with_gearman = Room.of(sockets, 20_000, gearman=sockets // 4)
+    assert SPARE_SOCKETS + sockets // 4 + sum((with_gearman.clients, with_gearman.reqs)) <= sockets
+
+
+def test_without_a_descriptor_the_gate_tries_again_now_and_then(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Sessions:
+        free = 1
+        counts: Counter[str] = Counter()
+
+    async def play() -> None:
+        gate = Gate("127.0.0.1", 0, Sessions())  # type: ignore[arg-type]
+
+        async def accept(listener: object) -> None:
+            raise OSError(errno.EMFILE, "no descriptor")
+
+        monkeypatch.setattr(asyncio.get_running_loop(), "sock_accept", accept)
+        gate.open()
+        await asyncio.sleep(4.5 * ACCEPT_AGAIN)
+        gate.close()
+        assert 2 <= Sessions.counts["no descriptor"] <= 5
+
+    asyncio.run(play())
+
+
+def test_bodies_are_bounded_in_all() -> None:
+    bodies = Bodies(100)
+    with bodies.hold(60):
+        with pytest.raises(Fault) as fault, bodies.hold(60):
+            pass
+        assert fault.value.status == 503  # it never ran: a new try does no harm
+    with bodies.hold(100):
+        pass
+
+
+def test_kept_connections_are_bounded_and_not_for_what_must_not_run_twice() -> None:
+    line = b'{"id":"r","state":"done","result":"made"}'
+    heads: list[bytes] = []
+    ports: set[int] = set()
+
+    async def work(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                heads.append(head)
+                ports.add(writer.get_extra_info("peername")[1])
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(line) + line)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def play() -> None:
+        server = await asyncio.start_server(work, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        roster = Roster(lambda: 0.0, 1000.0)
+        row = {"uid": "w", "endpoint": f"127.0.0.1:{port}", "state": "ready"}
+        roster.apply(parse_list({"rev": 1, "all": True, "targets": [row]}))
+        backends = HttpBackends(roster, {}, 250.0, 15000.0, most_kept=2, once={"accession"})
+
+        async def fetch(job_class: str) -> None:
+            req = Req("r", job_class, 1.0, "/x")
+            ending = await backends.fetch("w", req, FetchNotes(1.0, lambda: None))
+            assert ending.result is Result.OK
+
+        for _ in range(3):
+            await fetch("preview")
+        assert len(ports) == 1  # one connection, kept
+        await fetch("accession")
+        assert len(ports) == 2 and b"Connection: close" in heads[-1]
+        heads.clear()
+        await asyncio.gather(*(fetch("preview") for _ in range(6)))
+        assert sum(b"Connection: close" in head for head in heads) == 4  # past the bound of two
+        await backends.close()
+        server.close()
+
+    asyncio.run(play())
