--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -274,6 +274,8 @@
         )
         entry.task = self._loop.create_task(self._run(entry.req, decision, entry.notes, wait))
         sent_at = self._loop.time()
+        log.debug("fetch %d of req %s (%s) to %s", decision.number, entry.req.id, entry.req.job_class,
+                  decision.backend)  # fmt: skip
         # A task cancelled before its first step never enters its body: only its end is sure to be told.
         entry.task.add_done_callback(lambda task: self._ended(entry, decision, task, sent_at))
 
@@ -283,6 +285,7 @@
 
     def _began(self, entry: _Open, decision: Fetch) -> None:
         entry.began_at = self._loop.time()
+        log.debug("fetch %d of req %s began at %s", decision.number, entry.req.id, decision.backend)
         if entry.req.on_running:
             entry.req.on_running(True)
         self._follow(self._facade.report(Began(entry.req.id, decision.number, decision.backend)))
@@ -319,8 +322,11 @@
                 "fetch %d of req %s (%s) at %s: %s after %.0f ms, %s", decision.number, entry.req.id,
                 entry.req.job_class, decision.backend, ending.result.value, duration, ending.reason,
             )  # fmt: skip
-        elif entry.began_at is not None:
-            entry.ran = self._loop.time() - entry.began_at
+        else:
+            log.debug("fetch %d of req %s served by %s after %.0f ms, %s", decision.number, entry.req.id,
+                      decision.backend, duration, ending.load)  # fmt: skip
+            if entry.began_at is not None:
+                entry.ran = self._loop.time() - entry.began_at
         if ending.result is Result.OK:
             self._finish(entry, Answer(Kind.SERVED, ending.body))
         final = entry.answer.done()
