The rank counts what a worker owes: its pace, and doubt for what must not run twice

Checked: choice.py knew no worker's pace, only its kind's (_learn_price), and _fault counts by class. Changed: _rank adds the time lost at a slow worker (gamma prior of two jobs, started jobs that still run count) and doubt (errors, rescued unstarted jobs) for single-shot classes; _place goes by the largest live weight of a kind. What stays: accessions sent before a worker shows anything.

--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -38,6 +38,7 @@
     hold: float = 0.0  # mean time a job holds its slot
     wait: float = 0.0  # mean wait before a start, of late
     jobs: float = 0.0  # mean jobs on a worker, as reports tell; 0: no reports
+    size: float = 0.0  # where weights fall with the load: the largest one told, alike for the kind
     seen: int = 0
     ready: int = 0
     sick: int = 0
@@ -58,7 +59,7 @@
     classes: frozenset[str] | None = None
     since: float = 0.0  # its last start; 0: long ago
     count: int = 0  # #T: own attempts out
-    running: int = 0  # of these, started
+    running: dict[_Attempt, None] = field(default_factory=dict)  # of these, started
     waiting: dict[_Attempt, None] = field(default_factory=dict)  # the rest, oldest first
     mean_count: float = 0.0
     counted_at: float = 0.0
@@ -67,6 +68,11 @@
     delay: float = 0.0  # last wait before a start, beyond the shortest seen
     delay_at: float = 0.0
     base: float = math.inf
+    due: float = 0.0  # jobs that should have ended in the time that some took, of late
+    done: float = 0.0  # and how many did
+    paced_at: float = 0.0
+    doubt: float = 0.0  # of whether a job that must not run twice ends well there
+    doubt_at: float = 0.0
     strikes: float = 0.0
     barred_until: float = 0.0
     unreachable: bool = False
@@ -154,7 +160,7 @@
     the keys is its weight over the pace of its kind."""
     mixed = ((key ^ w.salt) * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
     mixed = ((mixed ^ (mixed >> 31)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
-    return -math.log((mixed + 1) / 2**64) * (w.pool.weighed / w.weight)
+    return -math.log((mixed + 1) / 2**64) * (w.pool.weighed / (w.pool.size or w.weight))
 
 
 # Routing. A worker's rank is its load over its slots: below 1 a new job starts at once.
@@ -164,6 +170,7 @@
 PRIOR_JOBS = 3.0  # the fleet's mean counts for so many own jobs at a worker
 MEAN_MS = 6000.0  # own #T is averaged over about two jobs' time to stand for the peers' part
 DELAY_FADES_MS = 1000.0  # what one start told of a queue fades over about a job's time
+SIZE_NOISE = 1.03  # weights that fall with the load are told with some noise
 LOOK = 4  # members of a wide set looked at
 SCAN = 16  # workers looked at past the set, in the key's order, fewer where little is known of each
 RECENT, LUCK = 4, 2  # and past these: lately good ones, and some at random
@@ -178,13 +185,17 @@
 WAIT_SAMPLES = 6  # starts that the fleet's mean wait is taken over
 RATIO_SAMPLES = 50  # how many jobs the price of leaving the set is averaged over
 REORDER = 0.15  # a kind's pace is off by so much: the keys' orders are made anew
-OUTLIER = 4.0  # a job counts for no more than this multiple of the mean: running times have long tails
+OUTLIER = 8.0  # a job counts for no more than this multiple of the mean: running times have long tails
 
 # Health
 BAR_MS, BAR_MOST_MS = 250.0, 4000.0  # first exclusion after a failed connect or a reset; doubles
 SWALLOWED = 0.5  # one that never started may have waited: counts less, the more own traffic shows of queues
 FAULT_MOST_MS, DOUBT = 30000.0, 0.75  # longest bar for a class; share of barred workers that is not believed
 
+PACE_MS, PACE_JOBS, PACE_LUCK = 5000.0, 2.0, 1.5  # pace at a worker: over which time, prior, left to chance
+DOUBT_RANK, DOUBT_FADES_MS, DOUBT_KEPT = 6.0, 8000.0, 0.7  # what doubt adds to a rank; what a good end leaves
+DOUBT_UNSTARTED = 0.25  # a job that never started tells less than one that failed
+
 # Cold budget
 COLD_MARGIN = 0.6  # of the budget: capacity is a guess and peers' arrivals clump
 COLD_CLUMPS = 4.0  # so many standard deviations of the dispatchers' common sends stay within the budget
@@ -296,16 +307,34 @@
             key.version = len(self.named)
         return key.order
 
-    def _rank(self, w: _Worker, now: float) -> float:
+    def _rank(self, w: _Worker, cls: JobClass, now: float) -> float:
         """Load over slots. Peers are taken to load a worker as this dispatcher does on average, and what
-        starts showed of its queue counts until it fades: an empty list proves no idle worker."""
+        starts showed of its queue counts until it fades: an empty list proves no idle worker. Time lost on
+        a slow one counts as if waited, and what must not run twice keeps off one that fails or is silent."""
         pool, slots = w.pool, w.pool.slots
         load, seen = self._load(w, now), self._seen(w, now)
         if seen > QUEUED_SHARE * pool.hold * self.blind and pool.hold:
             load = max(load, slots + len(w.waiting) + seen * slots / pool.hold)
         if self.connect > QUEUED_SHARE * pool.hold > 0 and not self._connected(w, now):
             load = max(load, slots) + self.connect * slots / pool.hold
-        return (load + 1) / (slots * self._warmth(w, now))
+        rank = (load + 1) / (slots * self._warmth(w, now))
+        if (slow := self._slowness(w, now)) > 1 and pool.hold:
+            rank += (slow - 1) * self.holds.get(cls.name, (0, pool.hold))[1] / pool.hold
+        if cls.repeat is Repeat.SINGLE_SHOT and w.doubt:
+            rank += DOUBT_RANK * w.doubt * math.exp((w.doubt_at - now) / DOUBT_FADES_MS)
+        return rank
+
+    def _slowness(self, w: _Worker, now: float) -> float:
+        """How much longer than usual for its kind jobs take there. What still runs counts: a worker that
+        stands still ends nothing that could tell."""
+        due = w.due + sum(self._due(a, now) for a in w.running)
+        return max((due + PACE_JOBS) / (w.done + PACE_JOBS) / PACE_LUCK, 1.0)
+
+    def _due(self, attempt: _Attempt, now: float) -> float:
+        """So many jobs of its class would have ended in the time that this one has run."""
+        w = attempt.worker
+        mean = self.holds.get(attempt.job.cls.name, (0, math.inf))[1] * w.pool.pace
+        return min((now - attempt.started) * self._warmth(w, now) / max(mean, 1.0), OUTLIER)
 
     def _connected(self, w: _Worker, now: float) -> bool:
         if w.pool.private:  # it connected to us
@@ -371,12 +400,12 @@
                 others.append(w)
                 if len(others) == scan:
                     break
-            elif (members - first) % key.size < LOOK and (rank := self._rank(w, now)) < best_rank:
+            elif (members - first) % key.size < LOOK and (rank := self._rank(w, job.cls, now)) < best_rank:
                 best, best_rank = w, rank
             if members == key.size and best_rank < W2 + affinity / (w.pool.hold or job.cls.aim):
                 return best, best_rank
         for w in others + (self._elsewhere(job, now) if len(others) == scan else []):
-            if w is not best and (rank := self._rank(w, now)) < spill_rank:
+            if w is not best and (rank := self._rank(w, job.cls, now)) < spill_rank:
                 spill, spill_rank = w, rank
         if spill and (spill_rank < W2 or best and self._hopeless(job, best, best_rank, now)
                       and not self._hopeless(job, spill, spill_rank, now, self.price)):  # fmt: skip
@@ -447,8 +476,8 @@
         attempt.started = now
         w.waiting.pop(attempt, None)
         self.unstarted.pop(attempt, None)
-        w.running += 1
-        w.pool.most = max(w.pool.most, w.running)
+        w.running[attempt] = None
+        w.pool.most = max(w.pool.most, len(w.running))
         w.base = min(w.base, now - attempt.sent)
         w.delay, w.delay_at = now - attempt.sent - w.base, now
         if attempt.fresh:
@@ -494,6 +523,10 @@
         barred = sum(now < x.faults[cls][1] for x in self.ready if cls in x.faults)
         self.doubted[cls] = barred > DOUBT * len(self.ready)
 
+    def _doubt(self, w: _Worker, more: float, now: float) -> None:
+        w.doubt = min(w.doubt * math.exp((w.doubt_at - now) / DOUBT_FADES_MS) + more, 1.0)
+        w.doubt_at = now
+
     def _strike(self, w: _Worker, now: float) -> None:
         w.pool.sick += w.strikes < 1
         w.strikes = min(max(w.strikes, 0.0) + 1.0, 5.0)
@@ -567,7 +600,7 @@
         job.key.count -= 1
         job.out -= 1
         if attempt.started >= 0:
-            w.running -= 1
+            del w.running[attempt]
         else:
             w.waiting.pop(attempt, None)
             self.unstarted.pop(attempt, None)
@@ -594,8 +627,14 @@
         result = e.result
         if attempt.started < 0 and (result is Result.TIMEOUT or result is Result.CANCELLED):
             self._fault(w, attempt.job.cls, now, min(2 * self.blind**2, SWALLOWED))
+            self._doubt(w, DOUBT_UNSTARTED, now)
+        if attempt.started >= 0:
+            fade = math.exp((w.paced_at - now) / PACE_MS)
+            w.due, w.done = w.due * fade + self._due(attempt, now), w.done * fade + (result is Result.OK)
+            w.paced_at = now
         if result is Result.OK:
             w.faults.pop(attempt.job.cls, None)
+            w.doubt *= DOUBT_KEPT
             self._praise(w, now)
             if attempt.started >= 0:
                 pool = w.pool
@@ -610,6 +649,7 @@
             self._strike(w, now)
         elif result is Result.ERROR:
             self._fault(w, attempt.job.cls, now, 1.0)
+            self._doubt(w, 1.0, now)
         elif result is Result.FULL:
             w.delay, w.delay_at = w.pool.hold, now
         if "free_slots" in e.load:
@@ -767,6 +807,10 @@
         for info in e.workers:
             w = self.workers.get(info.name) or self._new_worker(info)
             w.ready, w.classes = info.readiness is fw.Readiness.READY, info.classes
+            if self.settings.live_weights and info.weight > w.pool.size:
+                grown, w.pool.size = info.weight > w.pool.size * SIZE_NOISE, info.weight
+                if grown:  # the keys' orders went by a load
+                    self._reorder()
             if info.online_since > w.since:
                 w.since, w.connections, w.barred_until = info.online_since, 0, 0.0
         for gone in [w for w in self.workers.values() if not w.ready and not w.count]:
--- a/oxbowyard/decision/facts.py
+++ b/oxbowyard/decision/facts.py
@@ -55,6 +55,7 @@
         tenants=tuple(api.Tenant(a["name"], a.get("quotaPerS") or 0.0) for a in facts.get("accounts") or []),
         over_share_worth=facts.get("overShareWorth", 1.0),
         must_subscribe=facts.get("discovery") == "ask",
+        live_weights=facts.get("weights") == "live",
         tells_start=bool(family.get("tellsStart")),
         progress_every=family.get("progress") or 0.0,
         may_probe=bool(limits.get("probes")) and report.get("via") == "pull",
--- a/oxbowyard/decision/interface.py
+++ b/oxbowyard/decision/interface.py
@@ -87,6 +87,7 @@
     tenants: tuple[Tenant, ...] = ()
     over_share_worth: float = 1.0  # share of the worth that a request over its tenant's quota earns
     must_subscribe: bool = False  # the list comes only when asked for
+    live_weights: bool = False  # a worker's weight is its size, lowered the more jobs it holds
     tells_start: bool = False  # workers send Started
     progress_every: float = 0.0  # workers send Progress this often; 0: never
     may_probe: bool = False
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -251,7 +251,52 @@
     d = make()
     (home,) = sends(ask(d, 1, "r0"))
     d.handle(10, fw.Outcome("r0", 0, home, fw.Result.ERROR, 9))
-    assert home not in sends(ask(d, 20, "r1")) and sends(ask(d, 21, "r2", "once")) == [home]
+    assert home not in sends(ask(d, 20, "r1")) and sends(ask(d, 21, "r2", "keyed")) == [home]
+
+
+def test_what_must_not_run_twice_keeps_off_a_worker_that_failed_until_others_ended_well() -> None:
+    """One error is seldom alone: accessions went on to workers that failed previews (kushiro, fleet 3)."""
+    d = make()
+    (home,) = sends(ask(d, 1, "r0", "keyed"))
+    d.handle(10, fw.Outcome("r0", 0, home, fw.Result.ERROR, 9, True))
+    assert home not in sends(ask(d, 20, "r1", "once"))
+    for i in range(12):
+        (at,) = sends(ask(d, 30 + i, f"p{i}"))
+        d.handle(30.5 + i, fw.Outcome(f"p{i}", 0, at, fw.Result.OK, 0.5, True))
+    assert sends(ask(d, 50, "r2", "once")) == [home]
+
+
+def test_a_worker_that_stands_still_is_noticed_by_what_it_owes() -> None:
+    """Started jobs that never end tell nothing by themselves (kushiro, wide 3: silent, then dead)."""
+    d = make()
+    now = 0.0
+    home = ""
+    for i in range(5):
+        now += 1000
+        (home,) = sends(ask(d, now, f"r{i}"))
+        d.handle(now + 1, fw.Started(f"r{i}", 0, home))
+        d.handle(now + 500, fw.Outcome(f"r{i}", 0, home, fw.Result.OK, 499, True))
+    worker = d.workers[home]
+    usual = d._rank(worker, FREE, now + 600)
+    for i in range(3):
+        (at,) = sends(ask(d, now + 700, f"s{i}"))
+        assert at == home
+        d.handle(now + 701, fw.Started(f"s{i}", 0, home))
+    soon, late = d._rank(worker, FREE, now + 800), d._rank(worker, FREE, now + 4500)
+    assert usual < soon < late - 1
+    assert home not in sends(ask(d, now + 4500, "t"))
+
+
+def test_a_key_keeps_its_worker_while_live_weights_change() -> None:
+    """Schedulers that were told of a worker under load placed the keys unlike the others."""
+    idle, busy = make(live_weights=True), make(live_weights=True)
+    for d, weights in ((idle, (5.0, 5.0, 5.0, 5.0)), (busy, (2.5, 5.0, 3.0, 4.2))):
+        infos = tuple(fw.WorkerInfo(f"v{i}", kind="big", weight=w) for i, w in enumerate(weights))
+        d.handle(1.0, fw.WorkerList(fw.Scope.FULL, infos))
+        for i in range(20):
+            ask(d, 2, f"r{i}", key=f"k{i}")
+    orders = [[[w.name for w in d._order(k, None)] for k in d.keys.values()] for d in (idle, busy)]
+    assert orders[0] == orders[1]
 
 
 def test_a_class_that_fails_everywhere_is_still_tried() -> None:
@@ -276,11 +321,11 @@
     d = make()
     (home,) = sends(ask(d, 1, "r0"))
     d.workers["w0"].pool.hold = 500.0
-    rank = d._rank(d.workers[home], 2)
+    rank = d._rank(d.workers[home], d.unknown, 2)
     d.connect = 400.0
-    assert d._rank(d.workers[home], 2) > rank + 0.5
+    assert d._rank(d.workers[home], d.unknown, 2) > rank + 0.5
     d.workers[home].connections, d.workers[home].used_at = 5, 2
-    assert d._rank(d.workers[home], 2) == pytest.approx(rank, abs=0.2)
+    assert d._rank(d.workers[home], d.unknown, 2) == pytest.approx(rank, abs=0.2)
 
 
 def test_a_hot_key_widens_where_own_counts_say_nothing() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -166,5 +166,5 @@
     world.settle()
     d = world.d
     assert not d.jobs and not d.held and not d.unstarted and d.total == 0
-    assert all(w.count == w.running == 0 and not w.waiting for w in d.workers.values())
+    assert all(w.count == 0 and not w.running and not w.waiting for w in d.workers.values())
     assert not any(line.jobs for line in d.lines.values())
