Gearman peers are bounded like HTTP clients: silent, unfinished, vast, malformed, flooding

Read from the code: a silent Gearman connection stayed for ever, unfinished packets were bounded each (256 KiB) but not in all (64 MiB at 256 connections, over an 80 MB limit), an error closed with bytes unread (reset), a worker could announce any number of functions of any length, a unique id of 256 KiB became a key of 512 KiB among the 4,096 that the decisions remember, and 256 connections were taken off the descriptors of a 256 limit, which left HTTP one req. The gate moves to listeners/ and serves both fronts.

--- a/oxbowyard/clients/limits.py
+++ b/oxbowyard/clients/limits.py
@@ -24,7 +24,3 @@
 UNUSED = 1.0  # the same between requests, while others can go: the next one may be on the way
 SLOW = 1.0  # the same within a request, while others can go: some are written in pieces
 SHORT = 0.25  # both, when there is nobody else to go
-ROOM_AGAIN = 0.02  # seconds before room is looked for again: new connections wait in the backlog meanwhile
-ACCEPT_AGAIN = 0.05  # the same when the system has no descriptor or no memory left
-AT_ONCE = 16  # connections accepted before those that are open have their turn again
-BACKLOG = 1024  # connections that the system holds for us until then: hundreds may come at once
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -56,6 +56,9 @@
         gearman: GearmanConfig | None = None,
         on_settled: Callable[[], None] = lambda: None,
     ) -> None:
+        if gearman:
+            most = min(gearman.max_connections, config.sockets // 4)
+            gearman = replace(gearman, max_connections=most)
         clock = steady_unix_ms()
         self.config = config
         self.classes = frozenset(c.name for c in config.settings.classes)
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from enum import Enum
 
-from ..clients.gate import Gate
 from ..clients.limits import BODIES_SHARE
 from ..clients.session import ClientSessions
 from ..gearman.config import GearmanConfig
+from ..listeners.gate import Gate
 from .assembly import Assembly
 from .config import BadConfig, Config, needs_restart
 
@@ -83,9 +83,9 @@
         return 0
 
     async def _start(self) -> Gate:
-        gate = Gate(self._config.host, self._config.port, self._sessions)
+        gate = Gate("http", self._config.host, self._config.port, self._sessions)
         if self._parts.gearman:
-            await self._parts.gearman.listen()
+            self._parts.gearman.listen()
         self._parts.start()
         self._parts.add_chore(self._watch_lag())
         self._parts.add_chore(self._tell())
@@ -156,6 +156,8 @@
         while True:
             await asyncio.sleep(REPORT_EVERY)
             log.info("%s", self._parts.summary())
-            if self._sessions.counts:
-                told = ", ".join(f"{what} {n}" for what, n in self._sessions.counts.items() if n)
-                log.info("bad clients so far: %s", told)
+            gearman = self._parts.gearman
+            for front, counts in (("http", self._sessions.counts), ("gearman", gearman and gearman.counts)):
+                if counts:
+                    told = ", ".join(f"{what} {n}" for what, n in counts.items() if n)
+                    log.info("bad clients of %s so far: %s", front, told)
--- a/oxbowyard/gearman/config.py
+++ b/oxbowyard/gearman/config.py
@@ -29,6 +29,8 @@
     port: int
     max_packet: int
     max_connections: int
+    max_buffered: int
+    packet_within: float
     max_queue: int
     max_held: int
     functions: dict[str, Function]
@@ -50,12 +52,21 @@
         port=int(port),
         max_packet=_positive(document, "max_packet_bytes", 256 << 10),
         max_connections=_positive(document, "max_connections", 256),
+        max_buffered=_positive(document, "max_buffered_bytes", 4 << 20),
+        packet_within=_seconds(document, "packet_within_s", 2.4),
         max_queue=_positive(document, "max_queue", 200),
         max_held=_positive(document, "max_held_bytes", 32 << 20),
         functions={name: _function(name, row, bases) for name, row in table.items()},
     )
 
 
+def _seconds(row: dict[str, Any], name: str, default: float) -> float:
+    value = row.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < 3600:
+        raise ValueError(f"{name} must be above 0")
+    return float(value)
+
+
 def _positive(row: dict[str, Any], name: str, default: float) -> int:
     value = row.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or value <= 0:
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 
+from ..listeners.gate import Gate
 from .admin import Admin
 from .config import GearmanConfig
-from .jobs import SUBMITS, Jobs, Rejected
-from .packet import ARGUMENTS, Decoder, Line, Packet, PacketError, Type, encode
+from .jobs import SUBMITS, Jobs
+from .packet import ARGUMENTS, Decoder, Line, Packet, PacketError, Rejected, Type, encode
 from .workers import Worker, Workers
 
 log = logging.getLogger("oxbowyard.gearman")
@@ -19,6 +21,9 @@
     Type.WORK_STATUS, Type.WORK_COMPLETE, Type.WORK_FAIL, Type.WORK_EXCEPTION, Type.WORK_DATA,
     Type.WORK_WARNING,
 )  # fmt: skip
+READ_AT_ONCE = 16 * 1024  # bytes taken from one peer before the others have their turn: some 1,300 packets
+DRAIN_WITHIN = 2.0  # seconds after an error that ends a connection, for what the peer still sends
+MOST_NAME = 512  # bytes of a function's name or a client's id: they are remembered
 UNREAD_PACKETS = 4  # a peer that leaves so many of the largest packets unread is cut off
 
 
@@ -29,6 +34,9 @@
         self._front = front
         self._decoder = Decoder(front.config.max_packet)
         self._transport: asyncio.Transport | None = None
+        self._alarm: asyncio.TimerHandle | None = None  # until its first packet, then for each that began
+        self._ended = False  # by an error: what still comes is dropped
+        self.silent = True  # nothing whole has come from it
         self.worker: Worker | None = None
         self.exceptions = False
         self.address = "-"
@@ -39,7 +47,7 @@
             Type.ALL_YOURS: lambda a: None,  # it promises to serve nobody else: nothing here depends on it
             Type.GET_STATUS: lambda a: self.send(front.jobs.status(a[0])),
             Type.GET_STATUS_UNIQUE: lambda a: self.send(front.jobs.status_unique(a[0])),
-            Type.CAN_DO: lambda a: front.workers.can_do(self._as_worker(), a[0]),
+            Type.CAN_DO: lambda a: front.workers.can_do(self._as_worker(), _name(a[0])),
             Type.CAN_DO_TIMEOUT: self._can_do_timeout,
             Type.CANT_DO: lambda a: front.workers.cant_do(self._as_worker(), a[0]),
             Type.RESET_ABILITIES: lambda a: front.workers.cant_do(self._as_worker()),
@@ -52,36 +60,86 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        # The transport's own size would let one peer hold the loop for twenty thousand packets.
+        transport.max_size = READ_AT_ONCE  # type: ignore[attr-defined]
         peer = transport.get_extra_info("peername")
         self.address = str(peer[0]) if peer else "-"
+        self._expect()
         if not self._front.admit(self):
-            self._error("TOO_MANY_CONNECTIONS", "this scheduler holds all the connections it may")
-            transport.close()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = None
+            self.end("TOO_MANY_CONNECTIONS", "this scheduler holds all the connections it may")
+
+    def _expect(self) -> None:
+        """A packet is due: the first one, or the rest of one that began."""
+        if self._alarm is None:
+            loop = asyncio.get_running_loop()
+            self._alarm = loop.call_later(self._front.config.packet_within, self._late)
+
+    def _expected(self) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+            self._alarm = None
+
+    def _late(self) -> None:
+        self._alarm = None
+        if self._ended:
+            self.close()
+        else:
+            self.end("TOO_SLOW", "no whole packet came in time")
+
+    def end(self, code: str, text: str) -> None:
+        """Say why and end: our side first, since closing both would reset a peer that still sends."""
+        self._front.counts[code.lower().replace("_", " ")] += 1
+        self._error(code, text)
+        self._ended = True
+        self._decoder.drop()
+        if self._transport is not None and self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._expected()
+        self._alarm = asyncio.get_running_loop().call_later(DRAIN_WITHIN, self._late)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """Nothing is owed to it or wanted of it any more."""
         self._front.release(self)
         self._front.jobs.gone(self)
         if self.worker is not None:
             self._front.workers.leave(self.worker)
             self.worker = None
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._expected()
+        self._let_go()
+
     def data_received(self, data: bytes) -> None:
+        if self._ended:
+            return
+        before = self._decoder.held
         try:
             items = self._decoder.feed(data)
         except PacketError as fault:
-            log.warning("connection from %s closed: %s", self.address, fault.text)
-            self._error(fault.code, fault.text)
-            self.close()
+            self.end(fault.code, fault.text)
             return
+        if items:
+            self.silent = False
+            self._expected()
         for item in items:
-            if self._transport is None:
+            if self._transport is None or self._ended:
                 return
             self._take(item)
+        if self._decoder.held:
+            self._expect()
+            if not self._front.may_buffer(self._decoder.held - before):
+                self.end("TOO_MUCH_UNFINISHED", "unfinished packets hold all the memory they may")
+
+    @property
+    def buffered(self) -> int:
+        """Bytes of a packet that is not whole."""
+        return self._decoder.held
 
     def send(self, data: bytes) -> None:
         """Write to the peer; one that does not read is cut off before it fills our memory."""
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing() or self._ended:
             return
         self._transport.write(data)
         if self._transport.get_write_buffer_size() > UNREAD_PACKETS * self._front.config.max_packet:
@@ -140,7 +198,7 @@
         self.send(encode(Type.OPTION_RES, arguments[0]))
 
     def _set_client_id(self, arguments: list[bytes]) -> None:
-        text = arguments[0].decode("utf-8", "replace")
+        text = _name(arguments[0]).decode("utf-8", "replace")
         if not text or not text.isprintable() or " " in text:
             raise Rejected("INVALID_CLIENT_ID", "a client id is one printable word")
         self._as_worker().client_id = text
@@ -148,12 +206,18 @@
     def _can_do_timeout(self, arguments: list[bytes]) -> None:
         if not arguments[1].isdigit() or len(arguments[1]) > 9:
             raise Rejected("INVALID_TIMEOUT", "the time-out is not a number of seconds")
-        self._front.workers.can_do(self._as_worker(), arguments[0], float(arguments[1]))
+        self._front.workers.can_do(self._as_worker(), _name(arguments[0]), float(arguments[1]))
 
     def _error(self, code: str, text: str) -> None:
         self.send(encode(Type.ERROR, code.encode(), text.encode()))
 
 
+def _name(text: bytes) -> bytes:
+    if len(text) > MOST_NAME:
+        raise Rejected("NAME_TOO_LONG", f"a name holds {MOST_NAME} bytes at most")
+    return text
+
+
 class GearmanFront:
     """The listener and what its connections share."""
 
@@ -162,28 +226,42 @@
         self.jobs = jobs
         self.workers = workers
         self._admin = Admin(config, jobs, workers)
-        self._connections: set[Connection] = set()
-        self._server: asyncio.Server | None = None
+        self._connections: dict[Connection, None] = {}  # oldest first
+        self._gate: Gate | None = None
+        self.free = 1  # one at a time: `admit` knows what to say to the one too many
+        self.counts: Counter[str] = Counter()  # of what no line is logged for
 
-    async def listen(self) -> None:
+    def listen(self) -> None:
         """Start to accept."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: Connection(self), self.config.host, self.config.port
-        )
-        where = self._server.sockets[0].getsockname()
-        log.info("gearman listens on %s:%d", where[0], where[1])
+        self._gate = Gate("gearman", self.config.host, self.config.port, self)
+        self._gate.open()
+
+    def make_connection(self) -> asyncio.Protocol:
+        """For a new connection."""
+        return Connection(self)
+
+    def make_room(self) -> bool:
+        """Close the oldest connection that has said nothing whole: no worker or client is among those."""
+        silent = next((c for c in self._connections if c.silent), None)
+        if silent is not None:
+            silent.end("CLOSED_FOR_ROOM", "others need the connection")
+            silent.close()
+        return silent is not None
 
     def admit(self, connection: Connection) -> bool:
         """Bound the connections."""
-        if len(self._connections) >= self.config.max_connections:
+        if len(self._connections) >= self.config.max_connections and not self.make_room():
             return False
-        self._connections.add(connection)
+        self._connections[connection] = None
         return True
 
+    def may_buffer(self, more: int) -> bool:
+        """Bound what is held of packets that are not whole, on all connections."""
+        return more <= 0 or sum(c.buffered for c in self._connections) <= self.config.max_buffered
+
     def release(self, connection: Connection) -> None:
         """A connection ended."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
 
     def admin_answer(self, line: str) -> str:
         """What an operator's line gets."""
@@ -193,8 +271,8 @@
     def wind_down(self) -> None:
         """Take no new job and no new connection; what runs goes on."""
         self.jobs.closing = True
-        if self._server is not None:
-            self._server.close()
+        if self._gate is not None:
+            self._gate.close()
 
     def close(self) -> None:
         """Close all connections."""
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import itertools
 import logging
 from dataclasses import dataclass, field
@@ -11,7 +12,7 @@
 from ..core.req import Answer, Kind, Note, NoteKind, Req
 from ..core.scheduler import Scheduler
 from .config import Function, GearmanConfig
-from .packet import Type, encode
+from .packet import Rejected, Type, encode
 
 log = logging.getLogger("oxbowyard.gearman")
 
@@ -28,6 +29,11 @@
 NOTE_TYPES = {NoteKind.DATA: Type.WORK_DATA, NoteKind.WARNING: Type.WORK_WARNING}
 
 
+def _key(unique: bytes) -> str | None:
+    """The affinity key; a unique id may be a whole workload, and the decisions remember thousands of keys."""
+    return hashlib.blake2b(unique, digest_size=16).hexdigest() if unique else None
+
+
 class Waiter(Protocol):
     """A client's connection, as its jobs see it."""
 
@@ -37,15 +43,6 @@
         """Write to the client."""
 
 
-class Rejected(Exception):
-    """The submission got no job; the client is told why."""
-
-    def __init__(self, code: str, text: str) -> None:
-        super().__init__(text)
-        self.code = code
-        self.text = text
-
-
 @dataclass(slots=True, eq=False)
 class Job:
     """One job in the core, and the clients that wait for it."""
@@ -124,7 +121,7 @@
             patience=function.job_class.deadline / 1000,
             target=function.name,
             payload=workload,
-            key=unique.hex() or None,
+            key=_key(unique),
             extras={"unique": unique.decode("latin-1"), "priority": str(priority)},
             on_running=lambda running: self._running(job, running),
             on_note=lambda note: self._note(job, note),
--- a/oxbowyard/gearman/packet.py
+++ b/oxbowyard/gearman/packet.py
@@ -98,6 +98,15 @@
         self.text = text
 
 
+class Rejected(Exception):
+    """What was asked for is not done; the peer is told why."""
+
+    def __init__(self, code: str, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+        self.text = text
+
+
 @dataclass(slots=True, frozen=True)
 class Packet:
     """One binary packet, its data not yet split."""
@@ -137,6 +146,15 @@
         self._most = most
         self._magic = magic
 
+    @property
+    def held(self) -> int:
+        """Bytes of what is not whole yet."""
+        return len(self._buffer)
+
+    def drop(self) -> None:
+        """Hold nothing more."""
+        self._buffer.clear()
+
     def feed(self, data: bytes) -> list[Packet | Line]:
         """Everything that became whole. Raises once the stream can't be read on."""
         self._buffer += data
--- a/oxbowyard/gearman/workers.py
+++ b/oxbowyard/gearman/workers.py
@@ -12,11 +12,12 @@
 from ..core.req import Ending, FetchNotes, Note, NoteKind, Req
 from ..decision.facade import Readiness, Result, Scope, WorkerInfo
 from .config import KIND, GearmanConfig
-from .packet import Type, encode
+from .packet import Rejected, Type, encode
 
 log = logging.getLogger("oxbowyard.gearman")
 
 Learn = Callable[[Scope, tuple[WorkerInfo, ...], str], None]
+MOST_ABILITIES = 256  # of one worker; each is remembered, with its name
 NOTES = {
     Type.WORK_DATA: NoteKind.DATA,
     Type.WORK_WARNING: NoteKind.WARNING,
@@ -117,7 +118,10 @@
 
     def can_do(self, worker: Worker, function: bytes, limit: float = 0.0) -> None:
         """The worker announces a function; one that the file does not name is never picked for it."""
-        worker.abilities[function.decode("utf-8", "replace")] = limit
+        name = function.decode("utf-8", "replace")
+        if name not in worker.abilities and len(worker.abilities) >= MOST_ABILITIES:
+            raise Rejected("TOO_MANY_FUNCTIONS", "a worker announces this many functions at most")
+        worker.abilities[name] = limit
         self._announce(worker)
 
     def cant_do(self, worker: Worker, function: bytes | None = None) -> None:
--- /dev/null
+++ b/oxbowyard/listeners/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners: how connections of either front come in."""
--- a/oxbowyard/clients/gate.py
+++ b/oxbowyard/listeners/gate.py
@@ -6,25 +6,44 @@
 import errno
 import logging
 import socket
+from collections import Counter
+from typing import Protocol
 
-from .limits import ACCEPT_AGAIN, AT_ONCE, BACKLOG, ROOM_AGAIN
-from .session import ClientSessions
-
-log = logging.getLogger("oxbowyard.clients")
+log = logging.getLogger("oxbowyard.listeners")
 
+ROOM_AGAIN = 0.02  # seconds before room is looked for again: new connections wait in the backlog meanwhile
+ACCEPT_AGAIN = 0.05  # the same when the system has no descriptor or no memory left
+AT_ONCE = 16  # connections accepted before those that are open have their turn again
+BACKLOG = 1024  # connections that the system holds for us until then: hundreds may come at once
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+class Sessions(Protocol):
+    """Those who hold the connections."""
+
+    counts: Counter[str]  # of what no line is logged for
+
+    @property
+    def free(self) -> int:
+        """How many more connections may come."""
+
+    def make_room(self) -> bool:
+        """Close the connection that is needed least, if any may go."""
+
+    def make_connection(self) -> asyncio.Protocol:
+        """For a new connection."""
+
+
 class Gate:
     """The listener. What it does not accept yet waits in the system's backlog."""
 
-    def __init__(self, host: str, port: int, sessions: ClientSessions) -> None:
+    def __init__(self, front: str, host: str, port: int, sessions: Sessions) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._listener = socket.create_server((host.strip("[]"), port), family=family, backlog=BACKLOG)
         self._listener.setblocking(False)
         self._sessions = sessions
         self._task: asyncio.Task[None] | None = None
-        log.info("http listens on %s:%d", *self._listener.getsockname()[:2])
+        log.info("%s listens on %s:%d", front, *self._listener.getsockname()[:2])
 
     def open(self) -> None:
         """Begin to accept."""
--- a/tests/player.py
+++ b/tests/player.py
@@ -14,6 +14,7 @@
     nofile N                          leave the program so many descriptors
     PEER status CODE                  receive an answer of that status, and a close with it if it is an error
     PEER chunk TEXT                   send a chunk of a body (no text: the last one)
+    PEER many N REQ 7 a|#             N Gearman packets at once, # stands for the number of each
     PEER > REQ 7 a|b|c                a Gearman packet; {x} keeps what stands there, later it must be the same
     log TEXT / stop / exit CODE       wait for a line of the log, send SIGTERM, wait for the exit
 """
@@ -169,6 +170,12 @@
         self.connection = None
 
 
+def _packet(magic: str, type_: str, text: str) -> bytes:
+    """A Gearman packet; `|` stands for the zero byte between arguments."""
+    packed = text.replace("{kib2}", "x" * 2048).encode("latin-1").replace(b"|", b"\0")
+    return struct.pack(">4sII", b"\0" + magic.encode(), int(type_), len(packed)) + packed
+
+
 class Player:
     """Plays one file."""
 
@@ -300,6 +307,11 @@
             assert self.program
             where = self.program.address("gearman" if name.startswith("g") else "http")
             peer.crowd += [socket.create_connection(where, PATIENCE) for _ in range(int(text))]
+        elif what == "many":
+            number, magic, type_, rest = text.split(" ", 3)
+            assert peer.connection
+            packets = (_packet(magic, type_, rest.replace("#", str(i))) for i in range(int(number)))
+            peer.connection.sendall(b"".join(packets))
         elif what == "disperse":
             peer.disperse()
         elif what == "status":
@@ -336,9 +348,7 @@
         assert peer.connection
         form = re.fullmatch(r"(REQ|RES) (\d+) ?(.*)", text)
         if form:
-            packed = self._filled(form[3]).encode("latin-1").replace(b"|", b"\0")
-            head = struct.pack(">4sII", b"\0" + form[1].encode(), int(form[2]), len(packed))
-            peer.connection.sendall(head + packed)
+            peer.connection.sendall(_packet(form[1], form[2], self._filled(form[3])))
         elif text:
             text = text.replace("{kib64}", "x" * 65536).replace("{mib16}", "x" * (16 << 20))
             text = text.replace("{kib2}", "x" * 2048)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,18 +5,24 @@
 import asyncio
 import errno
 from collections import Counter
+from pathlib import Path
 
 import pytest
 
 from oxbowyard.backends.http import HttpBackends
-from oxbowyard.clients.gate import Gate
-from oxbowyard.clients.limits import ACCEPT_AGAIN
 from oxbowyard.clients.session import Bodies
 from oxbowyard.clients.wording import Fault
 from oxbowyard.core.req import FetchNotes, Req
-from oxbowyard.daemon.assembly import SPARE_SOCKETS, Room
+from oxbowyard.daemon.assembly import SPARE_SOCKETS, Assembly, Room
+from oxbowyard.daemon.config import Config
 from oxbowyard.decision.facade import Result
+from oxbowyard.decision.interface import JobClass, Settings
 from oxbowyard.director.roster import Roster, parse_list
+from oxbowyard.gearman.config import load as load_gearman
+from oxbowyard.gearman.jobs import _key
+from oxbowyard.listeners.gate import ACCEPT_AGAIN, Gate
+
+OTHERS = tuple(JobClass(name, aim=1000, deadline=5000) for name in ("label-check", "accession"))
 
 
 @pytest.mark.parametrize("sockets", [256, 384, 512, 1024])
@@ -34,7 +40,7 @@
         counts: Counter[str] = Counter()
 
     async def play() -> None:
-        gate = Gate("127.0.0.1", 0, Sessions())  # type: ignore[arg-type]
+        gate = Gate("http", "127.0.0.1", 0, Sessions())  # type: ignore[arg-type]
 
         async def accept(listener: object) -> None:
             raise OSError(errno.EMFILE, "no descriptor")
@@ -97,3 +103,22 @@
         server.close()
 
     asyncio.run(play())
+
+
+def test_a_unique_id_of_any_size_is_a_short_key() -> None:
+    assert _key(b"") is None
+    keys = {_key(b"x" * size) for size in (1, 2, 200_000)}
+    assert len(keys) == 3 and all(key and len(key) <= 64 for key in keys)
+
+
+def test_gearman_leaves_the_http_front_its_descriptors() -> None:
+    async def play() -> None:
+        settings = Settings(classes=(JobClass("preview", aim=1000, deadline=5000),))
+        config = Config("n", "127.0.0.1", 0, "127.0.0.1:1", 1, 256, 32.0, 20_000, settings, True)
+        gearman = load_gearman(Path("deploy/gearman.toml"), (*settings.classes, *OTHERS))
+        parts = Assembly(config, gearman)
+        assert parts.gearman and parts.gearman.config.max_connections == 64
+        assert parts.room.reqs > 50 and parts.room.clients > parts.room.reqs
+        await parts.close()
+
+    asyncio.run(play())
