A connection for each fetch; accessions lack their last byte until the connection has held

Checked: 'written' was set before the one write of head and body, so each early reset had to count as run; kept connections were reused for 12 s.

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -1,4 +1,4 @@
-"""Fetches over HTTP: one POST a fetch on kept connections, never sent again by the library."""
+"""Fetches over HTTP: one POST a fetch, each on a connection of its own, never sent again by the library."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 log = logging.getLogger("oxbowyard.backends")
 
-IDLE_SHARE = 0.8  # connections are closed before the other side does: a req written then ends as a reset
+LAST_BYTE_AFTER = 0.010  # seconds that a job which must not run twice lacks its last byte and can't run yet
 LINE_LIMIT = 1 << 20  # a result of 64 KiB may grow sixfold in JSON
 TAIL_WITHIN = 0.25  # seconds for the end of the chunks after the last line; else the connection is closed
 
@@ -33,27 +33,17 @@
         roster: Roster,
         load_names: Mapping[str, str],
         connect_timeout: float,
-        connect_idle: float,
-        most_kept: int = 100,
         once: Collection[str] = (),
     ) -> None:
         self._roster = roster
         self._load_names = load_names
-        self._tails: set[asyncio.Task[None]] = set()
-        self._most_kept = most_kept
         self._once = once  # classes that must not run twice
-        self._out = 0  # fetches on connections that are kept afterwards
-        # The core bounds the reqs and so the connections: a limit here would be a hidden queue.
-        self._pool = aiohttp.TCPConnector(
-            limit=0, limit_per_host=0, keepalive_timeout=connect_idle / 1000 * IDLE_SHARE
-        )
-        self._kept = self._session(self._pool, connect_timeout)
-        self._fresh = self._session(aiohttp.TCPConnector(limit=0, force_close=True), connect_timeout)
-
-    @staticmethod
-    def _session(connector: aiohttp.BaseConnector, connect_timeout: float) -> aiohttp.ClientSession:
-        return aiohttp.ClientSession(
-            connector=connector,
+        self._tails: set[asyncio.Task[None]] = set()
+        self._session = aiohttp.ClientSession(
+            # A connection a fetch: backends close kept ones early and unseen, or were restarted meanwhile,
+            # and what is written to such a one may have run. A new one costs them 1 to 4 ms, little for a job.
+            # The core bounds the reqs and so the connections: a limit here would be a hidden queue.
+            connector=aiohttp.TCPConnector(limit=0, limit_per_host=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout / 1000),
             auto_decompress=False,
@@ -66,13 +56,7 @@
         """Close every connection."""
         for task in self._tails:
             task.cancel()
-        await self._kept.close()
-        await self._fresh.close()
-
-    def _room_in_pool(self) -> bool:
-        """Whether one more connection may be kept: each holds a descriptor, and the library has no bound."""
-        idle = sum(map(len, self._pool._conns.values()))
-        return idle + self._out < self._most_kept
+        await self._session.close()
 
     async def fetch(self, backend: str, req: Req, notes: FetchNotes) -> Ending:
         """One fetch, from connect to the last line."""
@@ -80,21 +64,8 @@
         if address is None:
             return Ending(Result.NOT_SENT, reason="backend is leaving or unknown")
         url = URL(f"http://{address}{req.target}", encoded=True)
-        # A kept connection may be stale, if its backend was restarted or cut off meanwhile, and what is
-        # written to it may have run: only what may be repeated goes there.
-        if req.job_class in self._once or not self._room_in_pool():
-            return await self._fetch(self._fresh, url, backend, req, notes)
-        self._out += 1
-        try:
-            return await self._fetch(self._kept, url, backend, req, notes)
-        finally:
-            self._out -= 1
-
-    async def _fetch(
-        self, session: aiohttp.ClientSession, url: URL, backend: str, req: Req, notes: FetchNotes
-    ) -> Ending:
         try:
-            response = await session.post(
+            response = await self._session.post(
                 url,
                 data=self._body(backend, req, notes),
                 headers=_headers(req, notes),
@@ -111,12 +82,19 @@
     async def _body(self, backend: str, req: Req, notes: FetchNotes) -> AsyncIterator[bytes]:
         """Runs when the connection is up and nothing is sent: the headers go out with the body.
 
-        `written` is set before the bytes go: a break while they are written may leave the last one sent.
+        `written` is set before the last byte goes: a break while it is written may leave it sent.
         """
         if self._roster.address(backend) is None:  # connecting took long and the drain second has passed
             raise _Barred
+        held = 0
+        if req.job_class in self._once and len(req.payload) > 1:
+            # A backend that resets the connection at once does so before the last byte: then the job never
+            # ran, and may go elsewhere. Written in one piece it would count as run.
+            held = 1
+            yield req.payload[:-held]
+            await asyncio.sleep(LAST_BYTE_AFTER)
         notes.written = True
-        yield req.payload
+        yield req.payload[-held:]
 
     async def _read(self, response: aiohttp.ClientResponse, req: Req, notes: FetchNotes) -> Ending:
         kept = False
@@ -150,7 +128,7 @@
         return Ending(Result.RESET, reason="answer ended before its last line")
 
     def _drain_tail(self, response: aiohttp.ClientResponse) -> None:
-        """The answer is known: its connection goes back to the pool once the end of the chunks is read."""
+        """The answer is known: its connection is closed once the end of the chunks is read."""
         if response.content.at_eof():
             response.release()
             return
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -27,8 +27,8 @@
 
 SPARE_SOCKETS = 24  # standard streams, listeners, the loop's own, discovery's connections, a file being read
 # The rest of the descriptors is shared out. At most a third of all are held by clients for requests, and each
-# of these takes one more for its fetch. The rest is for clients that ask for nothing and backends' kept ones.
-REQS_SHARE, KEPT_SHARE = 0.37, 0.2
+# of these takes one more for its fetch. The rest is for clients that ask for nothing.
+REQS_SHARE = 0.4
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,14 +37,13 @@
 
     reqs: int
     clients: int
-    kept: int  # connections to backends between fetches
 
     @classmethod
     def of(cls, sockets: int, most_held: int, gearman: int = 0) -> Room:
         """Share out the descriptors."""
         rest = max(sockets - SPARE_SOCKETS - gearman, 5)
-        reqs, kept = int(rest * REQS_SHARE), int(rest * KEPT_SHARE)
-        return cls(max(min(reqs, most_held), 1), rest - reqs - kept, kept)
+        reqs = int(rest * REQS_SHARE)
+        return cls(max(min(reqs, most_held), 1), rest - reqs)
 
 
 class Assembly:
@@ -70,8 +69,6 @@
             self.roster,
             config.load_names,
             settings.connect_timeout,
-            settings.connect_idle,
-            self.room.kept,
             frozenset(c.name for c in settings.classes if c.repeat is not Repeat.FREE),
         )
         workers = Workers(gearman) if gearman else None
