A reset among connections that hold is half a strike

At fault: choice.py _learn struck for each reset alike. A dead process resets all its connections, so two still strike.

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -41,7 +41,7 @@
         self._tails: set[asyncio.Task[None]] = set()
         self._session = aiohttp.ClientSession(
             # A connection a fetch: backends close kept ones early and unseen, or were restarted meanwhile,
-            # and what is written to such a one may have run. A new one costs them 1 to 4 ms, little for a job.
+            # and what is written to one may have run. A new one costs them 1 to 4 ms, little for a job.
             # The core bounds the reqs and so the connections: a limit here would be a hidden queue.
             connector=aiohttp.TCPConnector(limit=0, limit_per_host=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -189,6 +189,7 @@
 
 # Health
 BAR_MS, BAR_MOST_MS = 250.0, 4000.0  # first exclusion after a failed connect or a reset; doubles
+LONE_RESET = 0.5  # strikes
 SWALLOWED = 0.5  # one that never started may have waited: counts less, the more own traffic shows of queues
 FAULT_MOST_MS, DOUBT = 30000.0, 0.75  # longest bar for a class; share of barred workers that is not believed
 
@@ -527,9 +528,10 @@
         w.doubt = min(w.doubt * math.exp((w.doubt_at - now) / DOUBT_FADES_MS) + more, 1.0)
         w.doubt_at = now
 
-    def _strike(self, w: _Worker, now: float) -> None:
-        w.pool.sick += w.strikes < 1
-        w.strikes = min(max(w.strikes, 0.0) + 1.0, 5.0)
+    def _strike(self, w: _Worker, strikes: float, now: float) -> None:
+        was = w.strikes >= 1
+        w.strikes = min(w.strikes + strikes, 5.0)
+        w.pool.sick += (w.strikes >= 1) - was
         w.barred_until = now + min(BAR_MS * 2 ** (w.strikes - 1), BAR_MOST_MS)
 
     def _praise(self, w: _Worker, now: float) -> None:
@@ -646,7 +648,8 @@
             if result is Result.UNREACHABLE:  # a dead process turns connects down at once: not merely slow
                 w.unreachable = w.unreachable or e.duration < self.settings.connect_timeout / 2
                 self.connect += (2 * e.duration - self.connect) / CONNECT_SAMPLES  # it takes another try
-            self._strike(w, now)
+            # A dead process resets all its connections: one reset among others that hold is the connection's.
+            self._strike(w, LONE_RESET if result is Result.RESET and w.count else 1.0, now)
         elif result is Result.ERROR:
             self._fault(w, attempt.job.cls, now, 1.0)
             self._doubt(w, 1.0, now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -177,7 +177,7 @@
 def test_if_most_look_sick_the_dispatcher_doubts_itself() -> None:
     d = make(2)
     for i, w in enumerate(("w0", "w1")):
-        d._strike(d.workers[w], 1)
+        d._strike(d.workers[w], 1.0, 1)
         assert d.workers[w].pool.sick == i + 1
     assert sends(ask(d, 2, "r"))
 
@@ -406,3 +406,17 @@
 def test_a_worker_without_size_is_refused() -> None:
     with pytest.raises(ValueError, match="weight"):
         fw.WorkerInfo("w", weight=0.0)
+
+
+def test_one_reset_among_connections_that_hold_bars_no_worker() -> None:
+    """Single resets barred workers that went on working (kushiro, wide+reset+stale)."""
+    for others, barred in ((1, False), (0, True)):
+        d = make()
+        (home,) = sends(ask(d, 1, "r0"))
+        for i in range(others):
+            assert sends(ask(d, 2, f"o{i}")) == [home]
+        d.handle(10, fw.Outcome("r0", 0, home, fw.Result.RESET, 9, True))
+        assert (d.workers[home].strikes >= 1) is barred
+        if others:  # the process died after all: its other connections tell
+            d.handle(10, fw.Outcome("o0", 0, home, fw.Result.RESET, 8, True))
+            assert d.workers[home].strikes >= 1
