--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -55,7 +55,7 @@
 
     __slots__ = (
         "_ahead", "_alarm", "_answered", "_drained", "_head", "_owner",
-        "ended", "finish_by", "phase", "reading", "since",
+        "ended", "finish_by", "has_asked", "phase", "reading", "since",
     )  # fmt: skip
 
     def __init__(self, manager: web.Server, owner: Owner) -> None:
@@ -76,6 +76,7 @@
         self._drained: asyncio.Future[None] | None = None
         self.reading: StreamReader | None = None
         self.ended = False
+        self.has_asked = False  # for a job: only whoever asks for no job at all is a stranger
         self.phase = Phase.SILENT
         self.since = self._loop.time()
         self.finish_by = self.since + REQUEST_WITHIN  # when the request that comes must be whole
@@ -91,8 +92,14 @@
 
     def whole(self) -> None:
         """The request that was read is whole: from here on its answer is owed, however long that takes."""
+        self.has_asked = True
         self._enter(Phase.OWED)
 
+    @property
+    def is_stranger(self) -> bool:
+        """It has not asked for a job so far, and is asking for nothing now."""
+        return self.phase is Phase.SILENT or (self.phase is Phase.KEPT and not self.has_asked)
+
     def _late(self) -> None:
         self._alarm = None
         if self.phase is Phase.UNFINISHED and self._pending:
--- a/oxbowyard/clients/limits.py
+++ b/oxbowyard/clients/limits.py
@@ -23,4 +23,5 @@
 YOUNG = 0.05  # seconds before a connection is closed for room: its request may still be on the way
 UNUSED = 1.0  # the same between requests, while others can go: the next one may be on the way
 SLOW = 1.0  # the same within a request, while others can go: some are written in pieces
+STRANGERS_SHARE = 0.25  # of all connections: with so many that ask for nothing, theirs are closed first
 SHORT = 0.25  # both, when there is nobody else to go
--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from contextlib import contextmanager, nullcontext
 
 from aiohttp import web
@@ -14,7 +14,7 @@
 from ..core.req import Kind
 from ..core.scheduler import Scheduler
 from .connection import Connection, Phase
-from .limits import MOST_BODY, REQUEST_WITHIN, SHORT, SLOW, UNUSED, YOUNG
+from .limits import MOST_BODY, REQUEST_WITHIN, SHORT, SLOW, STRANGERS_SHARE, UNUSED, YOUNG
 from .wording import STATUS, Fault, answer_headers, read_class, read_req, read_target, single
 
 log = logging.getLogger("oxbowyard.clients")
@@ -22,14 +22,17 @@
 LONGEST_END = 60.0  # seconds that a connection may still take for its answer when all are closed
 
 # Who goes first when room is needed, each after so long in its phase; of several, the one longest in it.
-# Never one whose answer is owed. A request may be written slowly, a kept connection be in use again at once.
-YIELDS = (
-    (Phase.DRAINING, 0.0),
-    (Phase.SILENT, YOUNG),
-    (Phase.KEPT, UNUSED),
-    (Phase.UNFINISHED, SLOW),
-    (Phase.KEPT, SHORT),
-    (Phase.UNFINISHED, SHORT),
+# Never one whose answer is owed. A stranger is silent, or has asked for /up alone: clients bring reqs at once.
+DISPENSABLE: tuple[tuple[Callable[[Connection], bool], float], ...] = (
+    (lambda c: c.phase is Phase.DRAINING, 0.0),
+    (lambda c: c.is_stranger, YOUNG),
+    (lambda c: c.phase is Phase.KEPT, UNUSED),
+    (lambda c: c.phase is Phase.UNFINISHED, SLOW),
+)
+# When none of these has gone on for so long: unless so many strangers are here that their turn comes soon.
+WANTED = (
+    (lambda c: c.phase is Phase.KEPT, SHORT),
+    (lambda c: c.phase is Phase.UNFINISHED, SHORT),
 )
 
 
@@ -95,15 +98,20 @@
     def make_room(self) -> bool:
         """Close the connection that is needed least; its descriptor is free a moment later."""
         now = asyncio.get_running_loop().time()
-        for phase, after in YIELDS:
-            least = min((c for c in self._open if c.phase is phase), key=lambda c: c.since, default=None)
+        if self._close_one(DISPENSABLE, now):
+            return True
+        if sum(c.is_stranger for c in self._open) >= STRANGERS_SHARE * self._most:
+            return False
+        return self._close_one(WANTED, now)
+
+    def _close_one(self, order: Iterable[tuple[Callable[[Connection], bool], float]], now: float) -> bool:
+        for may_go, after in order:
+            least = min((c for c in self._open if may_go(c)), key=lambda c: c.since, default=None)
             if least is not None and now - least.since >= after:
                 self.counts["closed for room"] += 1
                 least.yield_place()
                 self.left(least)
                 return True
-            if least is not None and phase is Phase.SILENT:  # its turn comes in a moment: no other has to go
-                return False
         return False
 
     def _end(self, connection: Connection, within: float) -> None:
--- a/tests/player.py
+++ b/tests/player.py
@@ -9,7 +9,8 @@
     reload NAME=JSON ... | TEXT       replace fields of the configuration, or all of it, and send SIGHUP
     PEER connect|accept|close|reset   open, take or end a connection (idle: nothing came; eof: it ended)
     PEER > TEXT / PEER < TEXT         send, or receive and compare; with no text a block up to a line `.`
-    PEER crowd N / PEER disperse      open N connections that say nothing, or close them
+    PEER crowd N [TEXT]               open N connections that say TEXT, if any, and stay
+    PEER disperse                     close them
     within S                          no more than S seconds have passed since a client connected first
     nofile N                          leave the program so many descriptors
     PEER status CODE                  receive an answer of that status, and a close with it if it is an error
@@ -306,7 +307,10 @@
         elif what == "crowd":
             assert self.program
             where = self.program.address("gearman" if name.startswith("g") else "http")
-            peer.crowd += [socket.create_connection(where, PATIENCE) for _ in range(int(text))]
+            number, _, text = text.partition(" ")
+            for _ in range(int(number)):
+                peer.crowd.append(socket.create_connection(where, PATIENCE))
+                peer.crowd[-1].sendall(text.encode().decode("unicode_escape").encode("latin-1"))
         elif what == "many":
             number, magic, type_, rest = text.split(" ", 3)
             assert peer.connection
