--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -22,7 +22,7 @@
 LONGEST_END = 60.0  # seconds that a connection may still take for its answer when all are closed
 
 # Who goes first when room is needed, each after so long in its phase; of several, the one longest in it.
-# Never one whose answer is owed. A stranger is silent, or has asked for /up alone: clients bring reqs at once.
+# Never one whose answer is owed. A stranger is silent or has asked for /up alone; clients bring reqs at once.
 DISPENSABLE: tuple[tuple[Callable[[Connection], bool], float], ...] = (
     (lambda c: c.phase is Phase.DRAINING, 0.0),
     (lambda c: c.is_stranger, YOUNG),
