Every refusal says when to come back, as far as the settings let clients heed it

Read from the code: a req given up after its fetches was refused with no Retry-After (choice.py _give_up, backoff 0), refusals before that named times over the settings' most, and the core named one second whatever the settings say. Changed: _give_up names the class's patience, at most max_backoff, and 0 where clients heed none; the core likewise. No answer is held back for it.

--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger("oxbowyard.clients")
 
+FULL_RETRY_AFTER = "1.000"  # seconds, when the bodies held allow no more
 LONGEST_END = 60.0  # seconds that a connection may still take for its answer when all are closed
 
 # Who goes first when room is needed, each after so long in its phase; of several, the one longest in it.
@@ -181,6 +182,8 @@
 def fault_response(request: BaseRequest, fault: Fault) -> web.Response:
     """The 4xx for what is no proper request."""
     response = web.Response(status=fault.status, text=fault.text + "\n")
+    if fault.status == 503:
+        response.headers["Retry-After"] = FULL_RETRY_AFTER
     if fault.status == 405:
         response.headers["Allow"] = "POST"
     if not request.content.is_eof():  # what is left of its body is not read
--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -82,6 +82,7 @@
         self._clock = clock
         self._loop = asyncio.get_running_loop()
         self._limits = limits
+        self._busy_wait = min(BUSY_RETRY_AFTER, settings.max_backoff / 1000)  # none where clients heed none
         self._max_fetches = min(settings.max_attempts, limits.fetches)
         self._repeatable = {c.name for c in settings.classes if _harmless(c.repeat, c.group)}
         self._open: dict[str, _Open] = {}
@@ -100,7 +101,7 @@
         self.measure.asked(req.job_class, req.is_retry)
         if len(self._open) >= self._limits.open_reqs:
             self.measure.answered(req.job_class, Kind.REFUSED, 0.0, None)
-            return Answer(Kind.REFUSED, retry_after=BUSY_RETRY_AFTER, reason="too many open reqs")
+            return Answer(Kind.REFUSED, retry_after=self._busy_wait, reason="too many open reqs")
         entry = self._take(req)
         try:
             return await entry.answer
@@ -194,7 +195,8 @@
         if entry.answer.done():
             return
         kind = Kind.REFUSED if self._harmless_to_retry(entry) else Kind.FAILED
-        self._finish(entry, Answer(kind, reason=reason))
+        wait = self._busy_wait if kind is Kind.REFUSED else 0.0
+        self._finish(entry, Answer(kind, retry_after=wait, reason=reason))
         self._follow(self._facade.report(Left(entry.req.id)))
 
     def _harmless_to_retry(self, entry: _Open) -> bool:
--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -760,12 +760,13 @@
         favour = cls.worth / mean / usual
         return HOPELESS * cls.aim * min(max(favour, 1 / FAVOUR_MOST), FAVOUR_MOST)
 
-    def _give_up(self, job: _Job, now: float, backoff: float = 0.0) -> None:
+    def _give_up(self, job: _Job, now: float, backoff: float | None = None) -> None:
         """The final answer when none came: refuse only what surely never ran, or may safely run again."""
         cls = job.cls
         harmless = cls.repeat is Repeat.FREE or cls.repeat is Repeat.GUARDED and cls.group == "all"
         if job.ran_on is None or harmless:
-            self.out.append(fw.Refuse(job.id, backoff))
+            backoff = self._patience(cls) if backoff is None else backoff
+            self.out.append(fw.Refuse(job.id, min(backoff, self.settings.max_backoff)))
         else:
             self.out.append(fw.Fail(job.id))
         self._finish(job)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -420,3 +420,13 @@
         if others:  # the process died after all: its other connections tell
             d.handle(10, fw.Outcome("o0", 0, home, fw.Result.RESET, 8, True))
             assert d.workers[home].strikes >= 1
+
+
+@pytest.mark.parametrize("most", [0.0, 50.0, 2000.0])
+def test_a_refusal_says_when_to_come_back_as_far_as_clients_heed_it(most: float) -> None:
+    d = make(1, max_backoff=most, max_attempts=1)
+    (home,) = sends(ask(d, 1, "r"))
+    (refusal,) = [
+        a for a in d.handle(9, fw.Outcome("r", 0, home, fw.Result.ERROR, 8)) if isinstance(a, fw.Refuse)
+    ]
+    assert refusal.backoff == min(most, 200.0)  # half the aim, as long as such a job may wait
