The core tells what is known of a run, and what the fleet can do for a class

Need: jobs that wait for others must not begin while a parent may still run, and a failure does not tell whether it does; a pace of release needs the slots that are reckoned for a class and what is open on them.

Change: an answer says whether the req never ran, may still run, may have run or ran (Ran). The facade has `capacity` (ready backends, slots by warmth, private or shared), the scheduler the open reqs by class and the time since a refusal.

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -153,7 +153,7 @@
 def _headers(req: Req, notes: FetchNotes) -> dict[str, str]:
     return {
         "Req-Id": req.id,
-        "Req-Kind": req.job_class,
+        "Req-Kind": req.backend_class or req.job_class,
         "Req-Deadline": f"{max(round(notes.time_left * 1000), 1)}m",
         "Content-Length": str(len(req.payload)),
     }
--- a/oxbowyard/core/measure.py
+++ b/oxbowyard/core/measure.py
@@ -54,6 +54,11 @@
             tally.in_time += 1
             tally.in_time_work += tally.mean_run if run is None else run
 
+    def mean_run(self, job_class: str) -> float:
+        """The mean running time in seconds of a class's reqs, of late; 0 if none was seen."""
+        tally = self._tallies.get(job_class)
+        return tally.mean_run if tally else 0.0
+
     @property
     def answers(self) -> Counter[Kind]:
         """All answers so far, by kind."""
--- a/oxbowyard/core/req.py
+++ b/oxbowyard/core/req.py
@@ -19,6 +19,15 @@
     LEFT = "left"  # the client went first
 
 
+class Ran(Enum):
+    """What is known of a req's run when it has its answer."""
+
+    NEVER = "never"
+    OPEN = "open"  # it may have begun, and may still run: no end of it was seen
+    MAYBE = "maybe"  # it may have run, and is over
+    YES = "yes"
+
+
 class NoteKind(Enum):
     """What a backend may tell while a fetch goes on."""
 
@@ -51,6 +60,7 @@
     tenant: str | None = None
     slots: int = 1
     is_retry: bool = False
+    backend_class: str = ""  # the class as backends know it, if that is another
     extras: Mapping[str, str] = field(default_factory=dict)
     on_running: Callable[[bool], None] | None = None  # told when a backend starts it, and when that ends
     on_note: Callable[[Note], None] | None = None  # told what a backend says before the end
@@ -64,6 +74,7 @@
     body: bytes = b""
     retry_after: float = 0.0  # seconds; 0: no advice
     reason: str = ""
+    ran: Ran = Ran.NEVER
 
 
 @dataclass(slots=True)
--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+import math
+from collections import Counter
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from itertools import chain
 
@@ -12,6 +14,7 @@
     Ask,
     Began,
     Cancel,
+    Capacity,
     Decision,
     Ended,
     Facade,
@@ -28,12 +31,13 @@
 )
 from ..decision.interface import Repeat, Settings
 from .measure import ServiceMeasure
-from .req import Answer, BackendTransport, Ending, FetchNotes, Kind, Note, Req
+from .req import Answer, BackendTransport, Ending, FetchNotes, Kind, Note, Ran, Req
 
 log = logging.getLogger("oxbowyard.core")
 
-MAX_FETCHES = 3  # whatever the settings allow, a req is never fetched more often
 ANSWER_AHEAD = 0.010  # seconds before its deadline that a req is answered: the answer has to travel
+MAX_FETCHES = 3  # whatever the settings allow, a req is never fetched more often
+NO_END_SEEN = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 NEVER_RAN = (Result.FULL, Result.UNREACHABLE, Result.NOT_SENT)
 BUSY_RETRY_AFTER = 1.0  # seconds, with the refusal of a req that found no room
 
@@ -53,6 +57,7 @@
     calling_off: bool = False
     expired: bool = False
     may_have_run: bool = False
+    may_run_on: bool = False  # no end was seen of a fetch that may have run
     began_at: float | None = None
     ran: float | None = None
 
@@ -86,7 +91,9 @@
         self._max_fetches = min(settings.max_attempts, limits.fetches)
         self._repeatable = {c.name for c in settings.classes if _harmless(c.repeat, c.group)}
         self._open: dict[str, _Open] = {}
+        self._open_by_class: Counter[str] = Counter()
         self._listed: dict[str, dict[str, WorkerInfo]] = {}
+        self._refused_at = -math.inf
         self._ticker: asyncio.TimerHandle | None = None
         self._idle = asyncio.Event()
         self._idle.set()
@@ -128,6 +135,23 @@
         """Reqs taken and not yet done with."""
         return len(self._open)
 
+    def open_of(self, classes: Iterable[str]) -> int:
+        """The same for some classes."""
+        return sum(self._open_by_class[name] for name in classes)
+
+    def capacity(self, job_class: str) -> Capacity:
+        """What the listed backends can do for a class."""
+        return self._facade.capacity(job_class)
+
+    def since_refusal(self) -> float:
+        """Seconds since a req was last refused."""
+        return self._loop.time() - self._refused_at
+
+    def ran(self, req: str) -> Ran:
+        """Whether an open req may have run by now; one that is not open never did."""
+        entry = self._open.get(req)
+        return _ran(entry) if entry else Ran.NEVER
+
     async def idle(self) -> None:
         """Wait until nothing taken is open."""
         await self._idle.wait()
@@ -139,6 +163,7 @@
         deadline = now + req.patience
         entry = _Open(req, now, deadline, self._loop.create_future())
         self._open[req.id] = entry
+        self._open_by_class[req.job_class] += 1
         self._idle.clear()
         entry.alarm = self._loop.call_at(deadline - ANSWER_AHEAD, self._expire, entry)
         ask = Ask(
@@ -156,6 +181,8 @@
             entry.alarm.cancel()
         elapsed = self._loop.time() - entry.taken_at
         self.measure.answered(entry.req.job_class, answer.kind, elapsed, entry.ran)
+        if answer.kind is Kind.REFUSED:
+            self._refused_at = self._loop.time()
         if answer.kind is not Kind.SERVED:
             log.debug("req %s %s: %s", entry.req.id, answer.kind.value, answer.reason)
         self._call_off(entry)
@@ -163,7 +190,8 @@
 
     def _let_go(self, entry: _Open) -> None:
         if entry.answer.done() and entry.task is None:
-            self._open.pop(entry.req.id, None)
+            if self._open.pop(entry.req.id, None) is not None:
+                self._open_by_class[entry.req.job_class] -= 1
             if not self._open:
                 self._idle.set()
 
@@ -196,7 +224,7 @@
             return
         kind = Kind.REFUSED if self._harmless_to_retry(entry) else Kind.FAILED
         wait = self._busy_wait if kind is Kind.REFUSED else 0.0
-        self._finish(entry, Answer(kind, retry_after=wait, reason=reason))
+        self._finish(entry, _answer(entry, kind, reason, wait))
         self._follow(self._facade.report(Left(entry.req.id)))
 
     def _harmless_to_retry(self, entry: _Open) -> bool:
@@ -243,7 +271,7 @@
             case Refuse(retry_after=wait):
                 self._refuse(entry, wait / 1000)
             case Fail():
-                self._finish(entry, Answer(Kind.FAILED, reason="given up"))
+                self._finish(entry, _answer(entry, Kind.FAILED, "given up"))
             case Cancel(number=number):
                 if number == entry.fetches - 1:
                     self._call_off(entry)
@@ -252,10 +280,10 @@
 
     def _refuse(self, entry: _Open, retry_after: float) -> None:
         if self._harmless_to_retry(entry):
-            self._finish(entry, Answer(Kind.REFUSED, retry_after=retry_after, reason="refused"))
+            self._finish(entry, _answer(entry, Kind.REFUSED, "refused", retry_after))
         else:  # a refusal promises that a new try does no harm, and this one may have run
             log.error("req %s: refused by the decisions though it may have run", entry.req.id)
-            self._finish(entry, Answer(Kind.FAILED, reason="may have run"))
+            self._finish(entry, _answer(entry, Kind.FAILED, "may have run"))
 
     # ---- Fetches ----
 
@@ -319,6 +347,7 @@
         if entry.req.on_running and entry.began_at is not None:
             entry.req.on_running(False)
         entry.may_have_run |= ending.result not in NEVER_RAN
+        entry.may_run_on |= ending.result in NO_END_SEEN
         if ending.result is not Result.OK:
             log.info(
                 "fetch %d of req %s (%s) at %s: %s after %.0f ms, %s", decision.number, entry.req.id,
@@ -330,7 +359,7 @@
             if entry.began_at is not None:
                 entry.ran = self._loop.time() - entry.began_at
         if ending.result is Result.OK:
-            self._finish(entry, Answer(Kind.SERVED, ending.body))
+            self._finish(entry, Answer(Kind.SERVED, ending.body, ran=Ran.YES))
         final = entry.answer.done()
         outcome = Ended(
             entry.req.id, decision.number, decision.backend, ending.result, duration, final, ending.load
@@ -344,5 +373,15 @@
             entry.task.cancel()
 
 
+def _ran(entry: _Open) -> Ran:
+    if entry.may_run_on or entry.notes is not None and entry.notes.written:
+        return Ran.OPEN
+    return Ran.MAYBE if entry.may_have_run else Ran.NEVER
+
+
+def _answer(entry: _Open, kind: Kind, reason: str, retry_after: float = 0.0) -> Answer:
+    return Answer(kind, b"", retry_after, reason, _ran(entry))
+
+
 def _harmless(repeat: Repeat, group: str) -> bool:
     return repeat is Repeat.FREE or (repeat is Repeat.GUARDED and group == "all")
--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -831,6 +831,14 @@
         for key in self.keys.values():
             key.order, key.version = [], 0
 
+    def capacity(self, job_class: str, now: float) -> tuple[int, float, bool]:
+        """Ready workers for a class, the load they take before jobs wait, and whether no peer sends there."""
+        kind = self.classes.get(job_class, self.unknown).kind
+        fit = [w for w in self.ready if kind in (None, w.kind)]
+        fit = [w for w in fit if w.classes is None or job_class in w.classes]
+        slots = sum(w.pool.slots * self._warmth(w, now) for w in fit)
+        return len(fit), slots, all(w.pool.private for w in fit)
+
     def _new_worker(self, info: fw.WorkerInfo) -> _Worker:
         slots = info.slots or CAUTIOUS_SLOTS
         pool = self.pools.setdefault(info.kind, _Pool(slots, slots, slots, info.private))
--- a/oxbowyard/decision/facade.py
+++ b/oxbowyard/decision/facade.py
@@ -17,8 +17,8 @@
 from .interface import Readiness, Result, Scope, WorkerInfo
 
 __all__ = [
-    "Ask", "Began", "Cancel", "Decision", "Ended", "Facade", "Fail", "Fetch", "Hold", "Left", "Outcome",
-    "Readiness", "Refuse", "Result", "Scope", "Turn", "WorkerInfo",
+    "Ask", "Began", "Cancel", "Capacity", "Decision", "Ended", "Facade", "Fail", "Fetch", "Hold", "Left",
+    "Outcome", "Readiness", "Refuse", "Result", "Scope", "Turn", "WorkerInfo",
 ]  # fmt: skip
 
 log = logging.getLogger("oxbowyard.decision")
@@ -121,11 +121,21 @@
     fault: Exception | None = None  # the module raised; what it had decided before that is kept
 
 
+@dataclass(slots=True, frozen=True)
+class Capacity:
+    """What the listed backends that may run a class are reckoned to do, all that this dispatcher may use."""
+
+    backends: int  # ready ones
+    slots: float  # jobs at once before others begin to wait; a cold backend counts by its warmth
+    private: bool  # they take jobs from this dispatcher alone
+
+
 class Facade:
     """One dispatcher, its clock and its timers."""
 
     def __init__(self, settings: api.Settings, seed: int, clock: Callable[[], float]) -> None:
         self._dispatcher = Dispatcher(settings, seed)
+        self._siblings = settings.siblings
         self._clock = clock
         self._last = clock()
         self._timers: list[tuple[float, int, int]] = []
@@ -136,6 +146,12 @@
         """Take a list, or a change of it, from the director."""
         return self._call(api.WorkerList(scope, backends))
 
+    def capacity(self, job_class: str) -> Capacity:
+        """What the ready backends for a class can do at once. It walks them: for callers that pace, not for
+        each req."""
+        count, slots, private = self._dispatcher.capacity(job_class, max(self._last, self._clock()))
+        return Capacity(count, slots if private else slots / self._siblings, private)
+
     def pick(self, req: Ask) -> Turn:
         """Decide about a new req: fetch, refuse, fail or hold."""
         event = api.Request(
