Waiting jobs: order, ageing, parents, pace and limits, without I/O or clock

Change: package waiting. A due time is fixed when a job becomes ready and lies within the age limit, so what becomes ready later can't pass; overdue jobs go at a promised rate though no room is left. Windows (AIMD) pace the release of each class.

--- /dev/null
+++ b/oxbowyard/waiting/room.py
@@ -0,0 +1,427 @@
+"""Owns every waiting job from taken to its one end: carries out what the policy decides.
+
+All calls come from the loop's own thread. A job's payload travels as a `Req`, the cargo of its order; when
+the policy releases it, that req goes to the core like any other.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+from msgspec import structs
+
+from ..core.req import Answer, Kind, Ran, Req
+from ..core.scheduler import Scheduler
+from ..decision.interface import JobClass
+from .ledger import Ledger, Memory
+from .order import (
+    AGED,
+    WAITS,
+    Changed,
+    Code,
+    End,
+    Final,
+    Job,
+    Order,
+    Rejected,
+    Release,
+    State,
+    Wait,
+)
+from .pace import Room
+from .policy import Policy
+from .settings import WaitingSettings
+
+log = logging.getLogger("oxbowyard.waiting")
+
+LOOK_AGAIN_MS = 50.0  # what the list says of a class's workers is reckoned anew so often: it walks them
+WEIGH_EVERY_MS = 1000.0  # mean running times are taken over for the order of release
+ENDS = {Kind.SERVED: End.SERVED, Kind.REFUSED: End.REFUSED, Kind.FAILED: End.FAILED, Kind.LEFT: End.CANCELLED}
+
+
+@dataclass(slots=True)
+class _Asked:
+    """A job that is with the core."""
+
+    id: str  # of the req
+    task: asyncio.Task[Answer] | None = None  # none yet: its release waits for the ledger
+    at: float = 0.0
+    cut: Ran | None = None  # called off, when so much was known of its run
+
+
+@dataclass(slots=True)
+class _Known:
+    """A class's capacity as of a moment ago."""
+
+    until: float
+    workers: int
+    slots: float
+    shares: tuple[str, ...]  # the classes whose reqs take the same slots
+
+
+@dataclass(slots=True)
+class Counts:
+    """Since the start, for operators."""
+
+    taken: int = 0
+    rejected: int = 0
+    released: int = 0
+    asked_again: int = 0
+    ended: dict[End, int] = field(default_factory=lambda: dict.fromkeys(End, 0))
+
+
+class WaitingRoom:
+    """The waiting jobs of one scheduler."""
+
+    def __init__(
+        self,
+        settings: WaitingSettings,
+        classes: Iterable[JobClass],
+        scheduler: Scheduler,
+        clock: Callable[[], float],
+        name: str = "oxbowyard",
+        wall: Callable[[], float] = time.time,
+        ledger: Ledger | None = None,
+    ) -> None:
+        self.settings = settings
+        self._classes = {c.name: c for c in classes if not c.name.endswith(AGED)}
+        self._scheduler = scheduler
+        self._clock = clock
+        self._wall = wall
+        self._ledger: Ledger = ledger or Memory()
+        self._loop = asyncio.get_running_loop()
+        self._policy = Policy(settings, {n: c.worth for n, c in self._classes.items()}, self._fleet)
+        self._capacity: dict[str, _Known] = {}
+        self._asked: dict[str, _Asked] = {}
+        self._results: dict[str, tuple[bytes, float]] = {}  # of jobs that the core answered
+        self._finals: dict[str, Final] = {}
+        self._on_end: dict[str, Callable[[Final], None]] = {}
+        self._watchers: dict[str, list[asyncio.Future[Final | None]]] = {}
+        self._watching = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+        self._driving = False
+        self._weighed_at = 0.0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._ids = f"{name}.{int(wall() * 1000):x}"  # ids of two runs must not be taken for each other
+        self._number = 0
+        self.counts = Counts()
+
+    # ---- For the fronts ----
+
+    def new_id(self) -> str:
+        """An id that no other job has, nor one of an earlier run."""
+        self._number += 1
+        return f"{self._ids}.{self._number:x}"
+
+    def hand_in(
+        self, jobs: Sequence[tuple[Req, Wait]], on_end: Callable[[Final], None] | None = None
+    ) -> list[Job]:
+        """Take all or none; raises Rejected. `on_end` is called once for each, not for repeated hand-ins.
+
+        A req's id, class, target, payload, key and the like are its own; its patience is for running, its
+        class's deadline at most. Acknowledge by `when_safe`.
+        """
+        orders = [self._order(req, wait) for req, wait in jobs]
+        now = self._clock()
+        try:
+            taken = self._policy.hand_in(now, orders)
+        except Rejected:
+            self.counts.rejected += 1
+            raise
+        if on_end is not None:
+            self._on_end.update((j.id, on_end) for j in taken if j.end is None and j.id not in self._on_end)
+        self.counts.taken += len(taken)
+        self._idle.clear()
+        self._drive(now)
+        return taken
+
+    def when_safe(self, then: Callable[[], None]) -> None:
+        """Call once what was handed in so far is as safe as this scheduler can keep it."""
+        self._ledger.when_safe(then)
+
+    async def serve(self, req: Req, wait: Wait) -> Answer:
+        """Hand in one job and wait for its answer; cancelled, it ends the job. Raises Rejected.
+
+        A refusal tells that the job never ran, or may safely run again; see `Answer.ran`.
+        """
+        (job,) = self.hand_in([(req, wait)])
+        try:
+            final = self._finals.get(job.id) or await self._watch(job.id)
+        except asyncio.CancelledError:
+            if job.id == req.id:  # else it was handed in before, and is another's
+                self.cancel(job.id, "its client left")
+            raise
+        if final is None:
+            return Answer(Kind.REFUSED, retry_after=self.settings.full_retry_after_s, reason="kept for later")
+        return final.answer()
+
+    def find(self, id_: str) -> Job | None:
+        """A job, until its end is forgotten."""
+        return self._policy.find(id_)
+
+    def final(self, id_: str) -> Final | None:
+        """How a job ended; None while it has not, or once that is forgotten."""
+        return self._finals.get(id_)
+
+    def ahead(self, job: Job) -> int:
+        """How many of its class go before it, as things stand."""
+        return self._policy.ahead(job)
+
+    def page(self, after: int, most: int, fits: Callable[[Job], bool]) -> tuple[list[Job], int | None]:
+        """A page of the jobs that are not forgotten, in the order taken, and where the next one begins."""
+        return self._policy.page(after, min(most, self.settings.max_page), fits)
+
+    async def wait(self, id_: str, within: float) -> Final | None:
+        """Wait some seconds for a job's end; None if there is none by then, or if it is unknown.
+
+        Raises Rejected if as many wait as may.
+        """
+        if (final := self._finals.get(id_)) is not None or self.find(id_) is None or within <= 0:
+            return final
+        if self._watching >= self.settings.max_watchers:
+            raise Rejected(
+                Code.FULL, f"{self.settings.max_watchers} wait already", self.settings.full_retry_after_s
+            )
+        self._watching += 1
+        try:
+            async with asyncio.timeout(min(within, self.settings.max_poll_s)):
+                return await self._watch(id_)
+        except TimeoutError:
+            return None
+        finally:
+            self._watching -= 1
+
+    async def _watch(self, id_: str) -> Final | None:
+        """Until the job ends, or the program does and the job is kept: None then."""
+        ended: asyncio.Future[Final | None] = self._loop.create_future()
+        self._watchers.setdefault(id_, []).append(ended)
+        try:
+            return await ended
+        finally:
+            self._unwatch(id_, ended)
+
+    def _unwatch(self, id_: str, ended: asyncio.Future[Final | None]) -> None:
+        if (watchers := self._watchers.get(id_)) is not None and ended in watchers:
+            watchers.remove(ended)
+            if not watchers:
+                del self._watchers[id_]
+
+    def cancel(self, id_: str, reason: str = "cancelled by its client") -> Job | None:
+        """End a job. One that runs is called off: it may have run. None if it is unknown or has ended."""
+        job, now = self._policy.find(id_), self._clock()
+        if job is None or job.end is not None:
+            return None
+        if job.state in WAITS:
+            self._policy.cancel(now, id_, reason)
+            self._drive(now)
+        elif (asked := self._asked.setdefault(id_, _Asked(id_))).cut is None:
+            asked.cut = self._scheduler.ran(asked.id)
+            if asked.task is not None:
+                asked.task.cancel()
+        return job
+
+    # ---- Stopping ----
+
+    def wind_down(self) -> None:
+        """Take and release no more. All that wait end as never run, unless the ledger keeps them."""
+        now = self._clock()
+        self._policy.stop(now, keep=self._ledger.keeps)
+        if self._ledger.keeps:
+            for watchers in list(self._watchers.values()):
+                for ended in watchers:
+                    if not ended.done():
+                        ended.set_result(None)
+        self._drive(now)
+
+    async def idle(self) -> None:
+        """Wait until every job has ended, but for those that the ledger keeps."""
+        await self._idle.wait()
+
+    # ---- What the policy wants ----
+
+    def _order(self, req: Req, wait: Wait) -> Order:
+        patience = self.settings.default_patience_s if wait.patience is None else wait.patience
+        delay = wait.delay
+        if wait.not_before is not None:
+            # By the system's clock as it is now; what that clock does later moves no job.
+            delay = max(delay, wait.not_before - self._wall())
+        return Order(
+            req.id, req.job_class, patience * 1000, len(req.payload), wait.after, delay * 1000, wait.quiet,
+            wait.lift, wait.tenant, wait.token, wait.print, req,
+        )  # fmt: skip
+
+    def _drive(self, now: float) -> None:
+        """Carry out what the policy has decided, and set the next tick."""
+        if self._driving:  # an end's callback hands in or cancels: the outer call goes on with it
+            return
+        self._driving = True
+        try:
+            while actions := self._policy.take():
+                for action in actions:
+                    self._carry_out(action)
+        finally:
+            self._driving = False
+        if not self._policy.held.jobs or (self._ledger.keeps and not self._asked):
+            self._idle.set()
+        self._set_timer(self._policy.next_tick(now), now)
+
+    def _carry_out(self, action: Changed | Release) -> None:
+        try:
+            if isinstance(action, Release):
+                self._asked.setdefault(action.job.id, _Asked(action.job.id))  # it may be called off already
+                self._ledger.when_safe(partial(self._ask, action.job, action.job_class))
+                return
+            self._ledger.record(action)
+            if action.state is State.ENDED:
+                self._conclude(action.job)
+            elif action.state is State.FORGOTTEN:
+                self._finals.pop(action.job.id, None)
+        except Exception:  # one client's fault must not cost the others their ends
+            log.exception("could not carry out %s of job %s", type(action).__name__, action.job.id)
+
+    def _set_timer(self, at: float | None, now: float) -> None:
+        if self._timer is not None:
+            if at is not None and self._timer_at <= at:
+                return  # it goes off earlier and looks again
+            self._timer.cancel()
+            self._timer = None
+        if at is not None:
+            self._timer_at = at
+            self._timer = self._loop.call_later(max(at - now, 0.0) / 1000, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        now = self._clock()
+        if now - self._weighed_at >= WEIGH_EVERY_MS:
+            self._weighed_at = now
+            for name in self._classes:
+                self._policy.lift.learn(name, self._scheduler.measure.mean_run(name))
+        self._policy.tick(now)
+        self._drive(now)
+
+    def _fleet(self, job_class: str) -> Room:
+        now = self._clock()
+        known = self._capacity.get(job_class)
+        if known is None or now >= known.until:
+            known = self._capacity[job_class] = self._look(job_class, now)
+        since = self._scheduler.since_refusal() * 1000
+        return Room(known.workers, known.slots, self._scheduler.open_of(known.shares), since)
+
+    def _look(self, job_class: str, now: float) -> _Known:
+        capacity = self._scheduler.capacity(job_class)
+        if capacity.private:  # which of them run what is told for each class
+            names: Iterable[str] = (job_class,)
+        else:
+            kind = self._classes[job_class].kind
+            names = (n for n, c in self._classes.items() if c.kind == kind)
+        shares = tuple(n for name in names for n in (name, name + AGED))
+        return _Known(now + LOOK_AGAIN_MS, capacity.backends, capacity.slots, shares)
+
+    # ---- Asked ----
+
+    def _ask(self, job: Job, job_class: str) -> None:
+        asked, req = self._asked[job.id], job.cargo
+        assert isinstance(req, Req)
+        asked.at = self._clock()
+        self.counts.released += 1
+        self.counts.asked_again += job.asks > 1
+        own = self._classes[job.job_class]
+        if job.asks > 1:  # a new req, as from a client that comes back: it surely never ran
+            asked.id = f"{job.id}~{job.asks}"
+        req = replace(
+            req,
+            id=asked.id,
+            job_class=job_class,
+            backend_class=job.job_class if job_class != job.job_class else "",
+            patience=min(req.patience, own.deadline / 1000),
+            is_retry=job.asks > 1,
+            on_running=partial(self._running, job, req.on_running),
+        )
+        asked.task = self._loop.create_task(self._scheduler.serve(req))
+        asked.task.add_done_callback(partial(self._answered, job))
+        if asked.cut is not None:  # called off while the ledger was written
+            asked.task.cancel()
+
+    def _running(self, job: Job, tell: Callable[[bool], None] | None, running: bool) -> None:
+        if tell is not None:
+            tell(running)
+        asked = self._asked.get(job.id)
+        if running and asked is not None:
+            now = self._clock()
+            self._policy.began(now, job, now - asked.at)
+            self._drive(now)
+
+    def _answered(self, job: Job, task: asyncio.Task[Answer]) -> None:
+        asked, now = self._asked.pop(job.id), self._clock()
+        if task.cancelled():
+            ran = asked.cut if asked.cut is not None else Ran.OPEN
+            self._policy.ended(now, job, End.CANCELLED, ran, "called off by its client")
+        elif fault := task.exception():
+            log.error("job %s failed in our own code: %r", job.id, fault, exc_info=fault)
+            self._policy.ended(now, job, End.FAILED, Ran.OPEN, "internal fault")
+        else:
+            self._take(job, task.result(), now)
+        self._drive(now)
+
+    def _take(self, job: Job, answer: Answer, now: float) -> None:
+        if answer.kind is Kind.REFUSED and answer.ran is Ran.NEVER:
+            again = self.settings.of(job.job_class).queueing
+            self._results[job.id] = b"", answer.retry_after  # for the case that this was its end
+            self._policy.refused(now, job, answer.retry_after * 1000, again)
+            if job.end is None:
+                del self._results[job.id]
+            return
+        self._results[job.id] = answer.body, answer.retry_after
+        self._policy.ended(now, job, ENDS[answer.kind], answer.ran, answer.reason, len(answer.body))
+
+    def _conclude(self, job: Job) -> None:
+        """A job has its one end: tell whoever waits for it."""
+        assert job.end is not None
+        body, retry_after = self._results.pop(job.id, (b"", 0.0))
+        if job.end in (End.EXPIRED, End.STOPPED):
+            retry_after = self.settings.full_retry_after_s
+        final = Final(job.end, job.ran, body, job.reason, retry_after)
+        self._finals[job.id] = final
+        self.counts.ended[job.end] += 1
+        if job.end is not End.SERVED:
+            log.debug("job %s (%s) ended %s: %s", job.id, job.job_class, job.end.value, job.reason)
+        for ended in self._watchers.pop(job.id, ()):
+            if not ended.done():
+                ended.set_result(final)
+        if (on_end := self._on_end.pop(job.id, None)) is not None:
+            on_end(final)
+
+    def summary(self) -> str:
+        """What waits, by state, and the ends so far, in a line."""
+        held = self._policy.held
+        states = ", ".join(f"{s.value} {n}" for s, n in held.by_state.items() if n and s is not State.ENDED)
+        ends = ", ".join(f"{end.value} {n}" for end, n in self.counts.ended.items() if n)
+        counts = self.counts
+        return (
+            f"waiting {held.jobs} ({states or 'none'}), {held.bytes} bytes, asked {counts.released} times, "
+            f"again {counts.asked_again}, not taken {counts.rejected}, ends: {ends or 'none'}"
+        )
+
+
+def with_aged(classes: Iterable[JobClass], settings: WaitingSettings) -> tuple[JobClass, ...]:
+    """The classes, and for each that queues one more in which its aged jobs are asked.
+
+    It differs in its aim, which is the deadline: the decisions refuse what would wait long for its aim, and a
+    job that has waited so long before is to queue at a worker and have its turn.
+    """
+    named = tuple(classes)
+    queueing = (c for c in named if settings.of(c.name).queueing)
+    return named + tuple(replace(c, name=c.name + AGED, aim=max(c.aim, c.deadline)) for c in queueing)
+
+
+def bounded(settings: WaitingSettings, reqs: int) -> WaitingSettings:
+    """The settings with a window that leaves half of the reqs that may be open to clients who do not wait."""
+    most = max(min(settings.max_window, reqs // 2), 1)
+    return structs.replace(settings, max_window=most, first_window=min(settings.first_window, most))
