Waiting jobs over HTTP and Gearman, switched on by the operator's file

Need: clients hand in, ask, list and cancel; Gearman's background and epoch jobs and queueing functions wait.

Change: WaitingRoom owns the jobs and carries out the policy; `--operator FILE` has the tables [waiting] and [gearman], every fault named by its key in one go; /jobs on the HTTP front. Gearman's counts and a client's leaving no longer walk all jobs.

--- a/oxbowyard/__main__.py
+++ b/oxbowyard/__main__.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from .daemon.config import BadConfig, Config, load
-from .daemon.program import Program, ReadConfig
+from .daemon.program import Program, Read, ReadConfig
 from .gearman.config import GearmanConfig
 from .gearman.config import load as load_gearman
 
@@ -24,20 +24,36 @@
     if path is None:
         return None
     try:
-        return load_gearman(path, config.settings.classes)
+        found = load_gearman(path, config.settings.classes)
     except ValueError as fault:
         raise BadConfig(" ".join(str(fault).split())) from None
+    if any(function.queueing for function in found.functions.values()):
+        raise BadConfig(f"{path.name}: queueing needs --operator, a file with the table [waiting]")
+    return found
 
 
-def _read(gearman: Path | None) -> tuple[Config, GearmanConfig | None]:
+def _read(gearman: Path | None, operator: Path | None) -> Read:
     config = load(os.environ)
-    return config, _load_gearman(gearman, config)
+    if operator is None:
+        return Read(config, _load_gearman(gearman, config))
+    try:  # only now: its libraries are not needed, and perhaps not there, without it
+        from .operator.file import load as load_operator
+    except ImportError as fault:
+        raise BadConfig(f"--operator needs the extra waiting: no {fault.name}") from None
+    try:
+        tables = load_operator(operator, config.settings.classes)
+    except ValueError as fault:
+        raise BadConfig(" ".join(str(fault).split())) from None
+    if gearman is not None and tables.gearman is not None:
+        raise BadConfig(f"{operator.name} has a table [gearman], and --gearman names another file")
+    return Read(config, tables.gearman or _load_gearman(gearman, config), tables.waiting)
 
 
 def main() -> int:
     """Read the configuration and run until told to stop."""
     parser = argparse.ArgumentParser(prog="oxbowyard", description="One scheduler; LB_CONFIG names its file.")
     parser.add_argument("--gearman", type=Path, metavar="FILE", help="serve Gearman too, as FILE says")
+    parser.add_argument("--operator", type=Path, metavar="FILE", help="switch on what FILE has a table for")
     options = parser.parse_args()
     logging.basicConfig(
         level=os.environ.get("OXBOWYARD_LOG", "INFO").upper(),
@@ -47,7 +63,7 @@
     # The library logs each malformed request with its traceback; it answers 400, and that is enough.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     try:
-        return asyncio.run(_run(partial(_read, options.gearman)))
+        return asyncio.run(_run(partial(_read, options.gearman, options.operator)))
     except BadConfig as fault:
         print(f"oxbowyard: {fault}", file=sys.stderr)
     except OSError as fault:
--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Collection, Iterable, Iterator
 from contextlib import contextmanager, nullcontext
 
 from aiohttp import web
@@ -37,6 +37,15 @@
 )
 
 
+WAITING_PATH = "/jobs"  # where waiting jobs are, if they are switched on
+
+
+def is_waiting_path(target: str) -> bool:
+    """The paths of waiting jobs."""
+    path = target.partition("?")[0]
+    return path == WAITING_PATH or path.startswith(WAITING_PATH + "/")
+
+
 class Bodies:
     """The bytes of all bodies that are held, from when one is announced until its answer is known."""
 
@@ -56,6 +65,9 @@
             self._held -= size
 
 
+Waiting = Callable[[BaseRequest, Bodies | None], Awaitable[web.StreamResponse]]  # raises Fault
+
+
 class ClientSessions:
     """Takes requests off the clients' connections and answers them."""
 
@@ -66,12 +78,14 @@
         is_up: Callable[[], bool],
         most: int,
         most_bytes: int,
+        waiting: Waiting | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._classes = classes
         self._is_up = is_up
         self._most = most
         self._bodies = Bodies(most_bytes)
+        self._waiting = waiting
         self._closing = False
         self._open: dict[Connection, None] = {}  # oldest first
         self._ending: dict[Connection, asyncio.Task[None]] = {}
@@ -152,6 +166,8 @@
         target = request.raw_path
         if target.partition("?")[0] == "/up":
             return self._up(request)
+        if self._waiting is not None and is_waiting_path(target):
+            return await self._waiting(request, self._bodies)
         return await schedule(request, self._scheduler, self._classes, self._bodies)
 
     def _up(self, request: BaseRequest) -> web.StreamResponse:
@@ -172,7 +188,7 @@
     if size > MOST_BODY:
         raise Fault(413, "a body holds 64 KiB at most")
     with bodies.hold(size) if bodies else nullcontext():
-        payload = await _read_body(request)
+        payload = await read_body(request)
         req = read_req(request.method, request.raw_path, request.headers, payload, classes)
         answer = await scheduler.serve(req)
     body = answer.body if answer.kind is Kind.SERVED else answer.reason.encode()
@@ -191,7 +207,8 @@
     return response
 
 
-async def _read_body(request: BaseRequest) -> bytes:
+async def read_body(request: BaseRequest, most: int = MOST_BODY) -> bytes:
+    """The whole body, of so many bytes at most, in the time that its connection has; raises Fault."""
     body = bytearray()
     # Elsewhere, as in an application with our middleware, the library's own connection ends with the body.
     connection = request.protocol if isinstance(request.protocol, Connection) else None
@@ -204,8 +221,8 @@
         async with asyncio.timeout_at(finish_by):
             while piece := await request.content.readany():
                 body += piece
-                if len(body) > MOST_BODY:
-                    raise Fault(413, "a body holds 64 KiB at most")
+                if len(body) > most:
+                    raise Fault(413, f"a body holds {most >> 10} KiB at most")
     except TimeoutError:
         raise Fault(408, "the body did not come") from None
     except web.RequestPayloadError:
--- /dev/null
+++ b/oxbowyard/clients/waiting.py
@@ -0,0 +1,385 @@
+"""Waiting jobs over HTTP, below /jobs: hand in, ask, list, cancel. Described in api/openapi-waiting.json.
+
+Only imported where the operator's file has the table `[waiting]`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Callable, Collection
+from contextlib import nullcontext
+from typing import Literal
+from urllib.parse import parse_qs, urlencode
+
+import msgspec
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+
+from ..core.req import Kind, Req
+from ..waiting.order import HIGH, LOW, Code, End, Final, Job, Parent, Rejected, State, Wait, When
+from ..waiting.room import WaitingRoom
+from .limits import MOST_DEADLINE
+from .session import WAITING_PATH, Bodies, read_body
+from .wording import (
+    DEADLINE_FORM,
+    STATUS,
+    TARGET_FORM,
+    UNITS,
+    Fault,
+    answer_headers,
+    read_deadline,
+    read_extras,
+    read_id,
+    read_slots,
+    read_target,
+    single,
+)
+
+STATUSES = {
+    Code.STOPPING: 503, Code.FULL: 429, Code.CLASS_FULL: 429, Code.TENANT_FULL: 429, Code.BYTES_FULL: 429,
+    Code.UNKNOWN_CLASS: 404, Code.TOO_LARGE: 413, Code.BATCH_TOO_LARGE: 413, Code.DUPLICATE_ID: 409,
+    Code.CONFLICT: 409,
+}  # fmt: skip
+UNFIT = 422  # what no later try will mend
+PRIORITIES = {"high": HIGH, "normal": None, "low": LOW}
+MOST_TOKEN = 255  # bytes of an idempotency key
+MOST_TENANT = 128
+JSON = "application/json"
+
+
+class ParentForm(msgspec.Struct, forbid_unknown_fields=True):
+    """A job to wait for."""
+
+    id: str
+    when: Literal["served", "ended"] = "served"
+
+
+class JobForm(msgspec.Struct, forbid_unknown_fields=True):
+    """One job in JSON."""
+
+    class_: str = msgspec.field(name="class")
+    id: str | None = None
+    path: str | None = None  # with query, as a worker gets it; else /CLASS, with obj if that is given
+    obj: str | None = None
+    payload: str = ""
+    payload_base64: bytes = b""
+    extra: str = ""
+    tenant: str = ""
+    priority: Literal["high", "normal", "low"] = "normal"
+    after: list[str | ParentForm] = []  # noqa: RUF012  # msgspec copies it
+    delay_s: float = 0.0
+    not_before: float | None = None
+    quiet: bool = False
+    patience_s: float | None = None
+    deadline_s: float | None = None
+
+
+class BatchForm(msgspec.Struct, forbid_unknown_fields=True):
+    """Several jobs, taken together or not at all."""
+
+    jobs: list[JobForm]
+
+
+class JobView(msgspec.Struct, omit_defaults=True):
+    """What is told of a job."""
+
+    id: str
+    class_: str = msgspec.field(name="class")
+    state: str
+    ahead: int | None = None  # of its class, while it waits for its turn
+    asks: int = 0
+    end: str | None = None
+    ran: str | None = None
+    reason: str | None = None
+    retry_after_s: float | None = None
+
+
+class PageView(msgspec.Struct):
+    """A page of the list."""
+
+    jobs: list[JobView]
+    next: int | None
+
+
+class WaitingFront:
+    """The paths below /jobs."""
+
+    def __init__(self, room: WaitingRoom, classes: Collection[str]) -> None:
+        self._room = room
+        self._classes = frozenset(classes)
+
+    async def __call__(self, request: BaseRequest, bodies: Bodies | None = None) -> web.StreamResponse:
+        """Answer one request; raises Fault for what is no proper one."""
+        path, query = read_target(request.raw_path)
+        words = path[len(WAITING_PATH) :].strip("/").split("/") if path != WAITING_PATH else []
+        most = self._room.settings.max_body_bytes
+        size = request.content_length
+        if size is None:
+            size = most if request.can_read_body else 0
+        if size > most:
+            raise Fault(413, f"a body holds {most >> 10} KiB at most")
+        with bodies.hold(size) if bodies else nullcontext():
+            body = await read_body(request, most)  # of any method: from here on its answer is owed
+            try:
+                return await self._route(request, words, parse_qs(query), body)
+            except Rejected as fault:
+                return _rejected(fault)
+
+    async def _route(
+        self, request: BaseRequest, words: list[str], query: dict[str, list[str]], body: bytes
+    ) -> web.Response:
+        match request.method, words:
+            case "POST", []:
+                return await self._hand_in_json(request, body)
+            case "POST", [job_class]:
+                return await self._hand_in_raw(request, job_class, body)
+            case "GET", []:
+                return self._list(query)
+            case "GET", [id_]:
+                return await self._ask(id_, query)
+            case "GET", [id_, "result"]:
+                return await self._result(id_, query)
+            case "DELETE", [id_]:
+                return self._cancel(id_)
+            case _, [] | [_] | [_, "result"]:
+                raise Fault(405, "not by this method")
+        raise Fault(404, "no such path")
+
+    # ---- Handing in ----
+
+    async def _hand_in_json(self, request: BaseRequest, body: bytes) -> web.Response:
+        try:
+            raw = msgspec.json.decode(body)
+            many = isinstance(raw, dict) and "jobs" in raw
+            forms = msgspec.convert(raw, BatchForm).jobs if many else [msgspec.convert(raw, JobForm)]
+        except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+            raise Fault(400, f"not a job: {fault}") from None
+        if not forms:
+            raise Fault(400, "not a job: an empty hand-in")
+        token = _token(request)
+        print_ = _print(body)
+        jobs = []
+        for number, form in enumerate(forms):
+            own = f"{token}/{number}" if token and many else token
+            jobs.append(self._from_form(form, own, print_))
+        return await self._take(jobs, many)
+
+    def _from_form(self, form: JobForm, token: str, print_: bytes) -> tuple[Req, Wait]:
+        if form.payload and form.payload_base64:
+            raise Fault(400, "payload and payload_base64 exclude each other")
+        payload = form.payload.encode() or form.payload_base64
+        target = form.path or f"/{form.class_}" + (f"?{urlencode({'obj': form.obj})}" if form.obj else "")
+        named = (ParentForm(p) if isinstance(p, str) else p for p in form.after)
+        after = tuple(Parent(read_id(p.id), When(p.when)) for p in named)
+        wait = Wait(
+            form.patience_s, after, form.delay_s, form.not_before, form.quiet, PRIORITIES[form.priority],
+            _tenant(form.tenant), token, print_,
+        )  # fmt: skip
+        deadline = MOST_DEADLINE if form.deadline_s is None else form.deadline_s
+        if not 0 < deadline <= MOST_DEADLINE:
+            raise Fault(400, "deadline_s is out of range")
+        return self._req(form.class_, form.id, target, payload, form.extra, deadline, wait.tenant), wait
+
+    async def _hand_in_raw(self, request: BaseRequest, job_class: str, body: bytes) -> web.Response:
+        headers = request.headers
+        priority = single(headers, "Req-Priority") or "normal"
+        if priority not in PRIORITIES:
+            raise Fault(400, "Req-Priority is high, normal or low")
+        patience, until = single(headers, "Wait-Patience"), single(headers, "Wait-Until")
+        delay = single(headers, "Wait-Delay")
+        told = [f"{n}: {v}" for n, v in sorted(headers.items()) if n.lower().startswith(("wait-", "req-"))]
+        wait = Wait(
+            _time(patience, "Wait-Patience") if patience else None,
+            _parents(single(headers, "Wait-After")),
+            _time(delay, "Wait-Delay") if delay else 0.0,
+            _unix(until) if until else None,
+            single(headers, "Wait-Quiet") == "1",
+            PRIORITIES[priority],
+            _tenant(single(headers, "Req-Tenant") or ""),
+            _token(request),
+            _print(request.raw_path.encode(), *(line.encode() for line in told), body),
+        )
+        deadline = single(headers, "Req-Deadline")
+        target = request.raw_path[len(WAITING_PATH) :]  # the rest is what a worker gets
+        req = self._req(
+            job_class,
+            single(headers, "Req-Id"),
+            target,
+            body,
+            single(headers, "Req-Extra") or "",
+            read_deadline(deadline) if deadline else MOST_DEADLINE,
+            wait.tenant,
+        )
+        return await self._take([(req, wait)], many=False)
+
+    def _req(
+        self,
+        job_class: str,
+        id_: str | None,
+        target: str,
+        payload: bytes,
+        extra: str,
+        deadline: float,
+        tenant: str,
+    ) -> Req:
+        if job_class not in self._classes:
+            raise Rejected(Code.UNKNOWN_CLASS, f"no class {job_class}")
+        path, query = read_target(target)
+        if path[1:].split("/", 1)[0] != job_class or not TARGET_FORM.fullmatch(target):
+            raise Fault(400, "the path is not one of the class")
+        extras = read_extras(extra)
+        return Req(
+            id=read_id(id_) if id_ is not None else self._room.new_id(),
+            job_class=job_class,
+            patience=deadline,
+            target=target,
+            payload=payload,
+            key=parse_qs(query).get("obj", [None])[0],
+            tenant=tenant or None,
+            slots=read_slots(extras),
+            extras=extras,
+        )
+
+    async def _take(self, jobs: list[tuple[Req, Wait]], many: bool) -> web.Response:
+        taken = self._room.hand_in(jobs)
+        await self._safe()
+        views = [self._view(job) for job in taken]
+        if many:
+            return _json(202, PageView(views, None))
+        response = _json(202, views[0])
+        response.headers["Location"] = f"{WAITING_PATH}/{views[0].id}"
+        return response
+
+    async def _safe(self) -> None:
+        safe: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._room.when_safe(lambda: None if safe.done() else safe.set_result(None))
+        await safe
+
+    # ---- Asking ----
+
+    def _view(self, job: Job) -> JobView:
+        final = self._room.final(job.id)
+        ahead = self._room.ahead(job) if job.state in (State.READY, State.QUIET) else None
+        view = JobView(job.id, job.job_class, job.state.value, ahead, job.asks)
+        if final is not None:
+            view.end, view.ran, view.reason = final.end.value, final.ran.value, final.reason or None
+            view.retry_after_s = final.retry_after or None
+        return view
+
+    async def _ended(self, id_: str, query: dict[str, list[str]]) -> tuple[Job, Final | None]:
+        text = query.get("wait_ms", ["0"])[0]
+        if not text.isdecimal() or len(text) > 9:
+            raise Fault(400, "wait_ms is not a number of milliseconds")
+        job = self._room.find(id_)
+        if job is None:
+            raise Fault(404, "no such job, or its end is no longer kept")
+        return job, await self._room.wait(id_, int(text) / 1000)
+
+    async def _ask(self, id_: str, query: dict[str, list[str]]) -> web.Response:
+        job, _ = await self._ended(id_, query)
+        return _json(200, self._view(job))
+
+    async def _result(self, id_: str, query: dict[str, list[str]]) -> web.Response:
+        job, final = await self._ended(id_, query)
+        if final is None:
+            return _json(202, self._view(job))
+        answer = final.answer()
+        if answer.kind is Kind.LEFT:
+            return web.Response(status=410, text="cancelled\n")
+        headers = answer_headers(answer) | {"Job-End": final.end.value, "Job-Ran": final.ran.value}
+        body = answer.body if final.end is End.SERVED else answer.reason.encode()
+        return web.Response(status=STATUS[answer.kind], headers=headers, body=body)
+
+    def _list(self, query: dict[str, list[str]]) -> web.Response:
+        unknown = set(query) - {"state", "class", "tenant", "after", "limit"}
+        if unknown:
+            raise Fault(400, f"no such filter: {sorted(unknown)[0]}")
+        after, limit = query.get("after", ["0"])[0], query.get("limit", ["100"])[0]
+        if not (after.isdecimal() and limit.isdecimal() and len(after + limit) < 24 and int(limit) > 0):
+            raise Fault(400, "after and limit are whole numbers")
+        jobs, more = self._room.page(int(after), int(limit), _filter(query))
+        return _json(200, PageView([self._view(job) for job in jobs], more))
+
+    def _cancel(self, id_: str) -> web.Response:
+        job = self._room.cancel(id_)
+        if job is not None:
+            return _json(200 if job.end is not None else 202, self._view(job))
+        known = self._room.find(id_)
+        if known is None:
+            raise Fault(404, "no such job, or its end is no longer kept")
+        return _json(409, self._view(known))
+
+
+def _filter(query: dict[str, list[str]]) -> Callable[[Job], bool]:
+    states = query.get("state", [])
+    if set(states) - {state.value for state in State}:
+        raise Fault(400, "no such state")
+    classes, tenants = query.get("class", []), query.get("tenant", [])
+    return lambda job: (
+        (not states or job.state.value in states)
+        and (not classes or job.job_class in classes)
+        and (not tenants or job.tenant in tenants)
+    )
+
+
+def _rejected(fault: Rejected) -> web.Response:
+    body = msgspec.json.encode({"error": fault.code.value, "text": fault.text})
+    response = web.Response(status=STATUSES.get(fault.code, UNFIT), body=body, content_type=JSON)
+    if fault.retry_after:
+        response.headers["Retry-After"] = f"{fault.retry_after:.3f}"
+    return response
+
+
+def _json(status: int, view: JobView | PageView) -> web.Response:
+    return web.Response(status=status, body=msgspec.json.encode(view), content_type=JSON)
+
+
+def _print(*parts: bytes) -> bytes:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.digest()
+
+
+def _token(request: BaseRequest) -> str:
+    token = single(request.headers, "Idempotency-Key") or ""
+    if len(token) > MOST_TOKEN:
+        raise Fault(400, f"an Idempotency-Key holds {MOST_TOKEN} bytes at most")
+    return token
+
+
+def _tenant(text: str) -> str:
+    if len(text) > MOST_TENANT or not text.isprintable():
+        raise Fault(400, "the tenant is malformed")
+    return text
+
+
+def _time(text: str, name: str) -> float:
+    form = DEADLINE_FORM.fullmatch(text)
+    if not form:
+        raise Fault(400, f"{name} is malformed")
+    return float(form[1]) * UNITS[form[2]]
+
+
+def _unix(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e12:
+        raise Fault(400, "Wait-Until is not a Unix time in seconds")
+    return value
+
+
+def _parents(text: str | None) -> tuple[Parent, ...]:
+    """As `ID, ID;ended, ...`."""
+    parents = []
+    for part in (text or "").split(","):
+        id_, _, when = part.strip().partition(";")
+        if not id_ and not when:
+            continue
+        if when not in ("", "served", "ended"):
+            raise Fault(400, "Wait-After is malformed")
+        parents.append(Parent(read_id(id_.strip()), When(when or "served")))
+    return tuple(parents)
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..backends.http import HttpBackends
 from ..core.clock import steady_unix_ms
@@ -14,7 +14,7 @@
 from ..core.req import BackendTransport, RoutedTransport
 from ..core.scheduler import Limits, Scheduler
 from ..decision.facade import Facade
-from ..decision.interface import Repeat, Settings
+from ..decision.interface import JobClass, Repeat, Settings
 from ..director.roster import Roster
 from ..director.watch import Director
 from ..gearman.config import KIND, GearmanConfig
@@ -23,6 +23,10 @@
 from ..gearman.workers import Workers
 from .config import Config
 
+if TYPE_CHECKING:  # its libraries are there, and taken in, only where the operator's file has its table
+    from ..waiting.room import WaitingRoom
+    from ..waiting.settings import WaitingSettings
+
 log = logging.getLogger("oxbowyard.daemon")
 
 SPARE_SOCKETS = 24  # standard streams, listeners, the loop's own, discovery's connections, a file being read
@@ -54,6 +58,7 @@
         config: Config,
         gearman: GearmanConfig | None = None,
         on_settled: Callable[[], None] = lambda: None,
+        waiting: WaitingSettings | None = None,
     ) -> None:
         if gearman:
             most = min(gearman.max_connections, config.sockets // 4)
@@ -62,6 +67,9 @@
         self.config = config
         self.classes = frozenset(c.name for c in config.settings.classes)
         settings = _with_functions(config.settings, gearman)
+        plain = settings.classes
+        if waiting is not None:
+            settings = _with_aged(settings, waiting)
         self.measure = ServiceMeasure(settings.classes, config.by_work)
         self.roster = Roster(clock, settings.drain_grace)
         self.room = Room.of(config.sockets, config.most_held, gearman.max_connections if gearman else 0)
@@ -79,10 +87,14 @@
         limits = Limits(open_reqs=self.room.reqs)
         self.scheduler = Scheduler(settings, facade, transport, clock, self.measure, limits)
         self.director = Director(config.discovery, self.roster, self.scheduler.learn, on_settled)
+        self.waiting: WaitingRoom | None = None
+        if waiting is not None:
+            self.waiting = _room(waiting, plain, self.scheduler, clock, config.name, self.room.reqs)
         self.gearman: GearmanFront | None = None
         if gearman and workers:
             workers.tell_to(self.scheduler.learn)
-            self.gearman = GearmanFront(gearman, Jobs(gearman, self.scheduler, config.name), workers)
+            jobs = Jobs(gearman, self.scheduler, config.name, self.waiting)
+            self.gearman = GearmanFront(gearman, jobs, workers)
         self._chores: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -97,7 +109,10 @@
         self._chores.append(task)
 
     async def close(self) -> None:
-        """Finish every req that was taken, then end all."""
+        """Finish every req and job that was taken, then end all."""
+        if self.waiting is not None:
+            self.waiting.wind_down()
+            await self.waiting.idle()
         await self.scheduler.idle()
         if self.gearman:
             self.gearman.close()
@@ -113,6 +128,25 @@
         return f"service {self.measure.share:.3f}, open {open_count}, answers: {answers or 'none'}"
 
 
+def _with_aged(settings: Settings, waiting: WaitingSettings) -> Settings:
+    from ..waiting.room import with_aged
+
+    return replace(settings, classes=with_aged(settings.classes, waiting))
+
+
+def _room(
+    waiting: WaitingSettings,
+    classes: Iterable[JobClass],
+    scheduler: Scheduler,
+    clock: Callable[[], float],
+    name: str,
+    reqs: int,
+) -> WaitingRoom:
+    from ..waiting.room import WaitingRoom, bounded
+
+    return WaitingRoom(bounded(waiting, reqs), classes, scheduler, clock, name)
+
+
 def _with_functions(settings: Settings, gearman: GearmanConfig | None) -> Settings:
     """The settings with a class more for each Gearman function."""
     if gearman is None:
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -6,15 +6,20 @@
 import logging
 import signal
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from ..clients.limits import BODIES_SHARE
-from ..clients.session import ClientSessions
+from ..clients.session import ClientSessions, Waiting
 from ..gearman.config import GearmanConfig
 from ..listeners.gate import Gate
 from .assembly import Assembly
 from .config import BadConfig, Config, needs_restart
 
+if TYPE_CHECKING:  # only where the operator's file has its table
+    from ..waiting.settings import WaitingSettings
+
 log = logging.getLogger("oxbowyard.daemon")
 
 LIST_WITHIN = 2.0  # seconds for discovery's first answer; then a list kept from before has to do
@@ -34,7 +39,16 @@
     STOPPED = "stopped"
 
 
-ReadConfig = Callable[[], tuple[Config, GearmanConfig | None]]  # raises BadConfig
+@dataclass(slots=True, frozen=True)
+class Read:
+    """All that was read: the platform's configuration and what the operator's files switch on."""
+
+    config: Config
+    gearman: GearmanConfig | None = None
+    waiting: WaitingSettings | None = None
+
+
+ReadConfig = Callable[[], Read]  # raises BadConfig
 
 
 class Program:
@@ -43,20 +57,27 @@
     def __init__(self, read: ReadConfig) -> None:
         self.state = State.STARTING
         self._read = read
-        config, gearman = read()
-        self._config = config  # as started; `_discovery` is what has changed since
-        self._gearman = gearman
+        self._started = read()  # `_discovery` is what has changed since
+        config = self._config = self._started.config
         self._discovery = config.discovery
         self._told_to_stop = asyncio.Event()
-        self._parts = Assembly(config, gearman, self._settled)
+        self._parts = Assembly(config, self._started.gearman, self._settled, self._started.waiting)
         self._sessions = ClientSessions(
             self._parts.scheduler,
             self._parts.classes,
             self._is_up,
             self._parts.room.clients,
             int(config.memory_mb * BODIES_SHARE * (1 << 20)),
+            self._waiting_front(),
         )
 
+    def _waiting_front(self) -> Waiting | None:
+        if self._parts.waiting is None:
+            return None
+        from ..clients.waiting import WaitingFront
+
+        return WaitingFront(self._parts.waiting, self._parts.classes)
+
     def _is_up(self) -> bool:
         return self.state in (State.SERVING, State.RELOADING)
 
@@ -107,13 +128,15 @@
     def _reload(self) -> None:
         """SIGHUP, in whichever state: what can change live does, and no req notices."""
         try:
-            config, gearman = self._read()
+            read = self._read()
         except BadConfig as fault:
             log.error("configuration not usable, going on with the one in force: %s", fault)
             return
+        config = read.config
         fixed = needs_restart(self._config, config)
-        if gearman != self._gearman:
-            fixed = (*fixed, "gearman")
+        for name in ("gearman", "waiting"):
+            if getattr(read, name) != getattr(self._started, name):
+                fixed = (*fixed, name)
         if fixed:
             log.warning("configuration: changed, but in force only after a restart: %s", ", ".join(fixed))
         if config.discovery == self._discovery:
@@ -133,6 +156,8 @@
     async def _leave(self, gate: Gate) -> None:
         self._enter(State.LEAVING)
         self._sessions.wind_down()
+        if self._parts.waiting:  # at once: who waits for one of these may still ask another scheduler
+            self._parts.waiting.wind_down()
         await asyncio.sleep(ACCEPT_ON)
         self._enter(State.FINISHING)
         gate.close()
@@ -142,6 +167,8 @@
         await self._sessions.close(longest + 1.0)
         await self._parts.close()
         log.info("last: %s", self._parts.summary())
+        if self._parts.waiting:
+            log.info("last: %s", self._parts.waiting.summary())
         self._enter(State.STOPPED)
 
     async def _watch_lag(self) -> None:
@@ -156,6 +183,8 @@
         while True:
             await asyncio.sleep(REPORT_EVERY)
             log.info("%s", self._parts.summary())
+            if self._parts.waiting:
+                log.info("%s", self._parts.waiting.summary())
             gearman = self._parts.gearman
             for front, counts in (("http", self._sessions.counts), ("gearman", gearman and gearman.counts)):
                 if counts:
--- a/oxbowyard/gearman/config.py
+++ b/oxbowyard/gearman/config.py
@@ -19,6 +19,8 @@
 
     name: str
     job_class: JobClass
+    queueing: bool = False  # refused, its jobs wait and are asked again: with the table [waiting]
+    patience: float | None = None  # seconds that its jobs may wait; None: as [waiting] says
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,9 +44,16 @@
         document = tomllib.loads(path.read_text())
     except OSError as fault:
         raise ValueError(f"cannot read {path.name}: {fault.strerror}") from None
+    except ValueError as fault:
+        raise ValueError(f"{path.name}: {fault}") from None
+    return parse(document, classes)
+
+
+def parse(document: dict[str, Any], classes: Iterable[JobClass]) -> GearmanConfig:
+    """Check what a file says, or a table of the operator's file; raises ValueError on a fault."""
     host, _, port = str(document.get("listen", "")).rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError(f"{path.name}: listen is not an address")
+    if not host or not port.isdecimal() or int(port) > 65535:
+        raise ValueError("listen is not an address")
     bases = {c.name: c for c in classes}
     table = document.get("functions") or {}
     return GearmanConfig(
@@ -60,10 +69,10 @@
     )
 
 
-def _seconds(row: dict[str, Any], name: str, default: float) -> float:
+def _seconds(row: dict[str, Any], name: str, default: float, most: float = 3600.0) -> float:
     value = row.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < 3600:
-        raise ValueError(f"{name} must be above 0")
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < most:
+        raise ValueError(f"{name} must be above 0 and under {most:g}")
     return float(value)
 
 
@@ -90,4 +99,8 @@
         aim=min(base.aim, deadline),
         worth=float(worth),
     )
-    return Function(name, own)
+    patience = _seconds(row, "patience_s", 0.0, 10 * 365 * 86400.0) if "patience_s" in row else None
+    queueing = row.get("queueing", False)
+    if not isinstance(queueing, bool):
+        raise ValueError(f"function {name}: queueing must be true or false")
+    return Function(name, own, queueing, patience)
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -6,14 +6,22 @@
 import hashlib
 import itertools
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
-from ..core.req import Answer, Kind, Note, NoteKind, Req
+from ..core.req import Answer, Kind, Note, NoteKind, Ran, Req
 from ..core.scheduler import Scheduler
+from ..waiting.order import HIGH as LIFT_HIGH
+from ..waiting.order import LOW as LIFT_LOW
+from ..waiting.order import Code, End, Final, Wait
+from ..waiting.order import Rejected as NotTaken
 from .config import Function, GearmanConfig
 from .packet import Rejected, Type, encode
 
+if TYPE_CHECKING:  # it is there only where the operator's file has its table
+    from ..waiting.room import WaitingRoom
+
 log = logging.getLogger("oxbowyard.gearman")
 
 HIGH, NORMAL, LOW = 0, 1, 2
@@ -24,7 +32,11 @@
     Type.SUBMIT_JOB_HIGH_BG: (HIGH, False),
     Type.SUBMIT_JOB_LOW: (LOW, True),
     Type.SUBMIT_JOB_LOW_BG: (LOW, False),
+    Type.SUBMIT_JOB_EPOCH: (NORMAL, False),
 }
+LIFTS = {HIGH: LIFT_HIGH, NORMAL: None, LOW: LIFT_LOW}
+MOST_EPOCH_DIGITS = 12  # of a Unix time: the year 33658 is far enough
+QUEUE_CODES = {Code.STOPPING: "SHUTTING_DOWN", Code.BAD_TIME: "INVALID_EPOCH", Code.TOO_LARGE: "TOO_LARGE"}
 SAME_AS_WORKLOAD = b"-"  # this unique id stands for the workload itself
 NOTE_TYPES = {NoteKind.DATA: Type.WORK_DATA, NoteKind.WARNING: Type.WORK_WARNING}
 
@@ -66,20 +78,31 @@
 class Jobs:
     """All jobs that have no end yet."""
 
-    def __init__(self, config: GearmanConfig, scheduler: Scheduler, name: str) -> None:
+    def __init__(
+        self, config: GearmanConfig, scheduler: Scheduler, name: str, room: WaitingRoom | None = None
+    ) -> None:
         self._config = config
+        self._room = room
         self._scheduler = scheduler
         self._prefix = f"H:{name}:"
         self._numbers = itertools.count(1)
         self._by_handle: dict[bytes, Job] = {}
         self._by_unique: dict[tuple[str, bytes], Job] = {}
+        self._by_waiter: dict[Waiter, dict[Job, None]] = {}
+        self._total: Counter[str] = Counter()  # by function: those that have no end yet
+        self._run: Counter[str] = Counter()  # and those of them that run
         self._held = 0  # bytes of their workloads
         self.most: dict[str, int] = {}  # set by an operator, for a function
         self.closing = False
 
     def submit(self, type_: Type, arguments: list[bytes], waiter: Waiter) -> Job:
         """Take a job, or join one with the same unique id, and tell the client its handle."""
-        name, unique, workload = arguments
+        not_before: float | None = None
+        if type_ is Type.SUBMIT_JOB_EPOCH:
+            name, unique, epoch, workload = arguments
+            not_before = self._epoch(epoch)
+        else:
+            name, unique, workload = arguments
         function = self._config.functions.get(name.decode("utf-8", "replace"))
         if function is None:
             raise Rejected("UNKNOWN_FUNCTION", "no such function here")
@@ -88,48 +111,78 @@
             unique = workload
         job = self._by_unique.get((function.name, unique)) if unique else None
         if job is None:
-            self._check_room(function, len(workload))
-            job = self._start(function, unique, workload, priority, background=not waits)
+            queues = self._room is not None and (function.queueing or not waits)
+            self._check_room(function, len(workload), queues)
+            job = self._make(function, unique, len(workload), background=not waits)
+            req = self._req(job, workload, priority)
+            if queues:
+                self._queue(job, req, Wait(function.patience, not_before=not_before, lift=LIFTS[priority]))
+            else:
+                job.task = asyncio.get_running_loop().create_task(self._serve(job, req))
         job.background |= not waits
-        waiter.send(encode(Type.JOB_CREATED, job.handle))
+        self._acknowledge(job, waiter)
         if waits:
             job.waiters[waiter] = None
+            self._by_waiter.setdefault(waiter, {})[job] = None
         return job
 
-    def _check_room(self, function: Function, size: int) -> None:
+    def _epoch(self, text: bytes) -> float:
+        if self._room is None:
+            raise Rejected("UNKNOWN_COMMAND", "packet type 36 is not served here")  # without [waiting]
+        if not text.isdigit() or len(text) > MOST_EPOCH_DIGITS:
+            raise Rejected("INVALID_EPOCH", "the time is not a whole number of seconds since 1970")
+        return float(text)
+
+    def _acknowledge(self, job: Job, waiter: Waiter) -> None:
+        created = encode(Type.JOB_CREATED, job.handle)
+        if self._room is not None:
+            self._room.when_safe(lambda: waiter.send(created))
+        else:
+            waiter.send(created)
+
+    def _queue(self, job: Job, req: Req, wait: Wait) -> None:
+        assert self._room is not None
+        try:
+            self._room.hand_in([(req, wait)], lambda final: self._ended(job, final))
+        except NotTaken as fault:
+            self._forget(job)
+            raise Rejected(QUEUE_CODES.get(fault.code, "JOB_QUEUE_FULL"), fault.text) from None
+
+    def _check_room(self, function: Function, size: int, queues: bool) -> None:
         # Waiting jobs are few but may be large: their number alone would not bound the memory.
         if self._held + size > self._config.max_held:
             raise Rejected("JOB_QUEUE_FULL", "the jobs that wait hold all the memory they may")
         if self.closing:
             raise Rejected("SHUTTING_DOWN", "this scheduler takes no more jobs")
-        most = self.most.get(function.name, self._config.max_queue)
+        # What queues has the limits of [waiting], but for one that an operator has typed.
+        most = self.most.get(function.name, 0 if queues else self._config.max_queue)
         if most and self.waiting(function.name) >= most:
             raise Rejected("JOB_QUEUE_FULL", "too many jobs wait for this function")
 
-    def _start(
-        self, function: Function, unique: bytes, workload: bytes, priority: int, background: bool
-    ) -> Job:
+    def _make(self, function: Function, unique: bytes, size: int, background: bool) -> Job:
         handle = f"{self._prefix}{next(self._numbers)}"
-        job = Job(handle.encode(), function, unique, background, len(workload))
+        job = Job(handle.encode(), function, unique, background, size)
         self._by_handle[job.handle] = job
         self._held += job.size
+        self._total[function.name] += 1
         if unique:
             self._by_unique[function.name, unique] = job
-        req = Req(
-            id=handle,
-            job_class=function.job_class.name,
-            patience=function.job_class.deadline / 1000,
-            target=function.name,
+        return job
+
+    def _req(self, job: Job, workload: bytes, priority: int) -> Req:
+        return Req(
+            id=job.handle.decode(),
+            job_class=job.function.job_class.name,
+            patience=job.function.job_class.deadline / 1000,
+            target=job.function.name,
             payload=workload,
-            key=_key(unique),
-            extras={"unique": unique.decode("latin-1"), "priority": str(priority)},
+            key=_key(job.unique),
+            extras={"unique": job.unique.decode("latin-1"), "priority": str(priority)},
             on_running=lambda running: self._running(job, running),
             on_note=lambda note: self._note(job, note),
         )
-        job.task = asyncio.get_running_loop().create_task(self._run(job, req))
-        return job
 
-    async def _run(self, job: Job, req: Req) -> None:
+    async def _serve(self, job: Job, req: Req) -> None:
         try:
             answer = await self._scheduler.serve(req)
         except asyncio.CancelledError:
@@ -141,6 +194,13 @@
             self._forget(job)
         self._finish(job, answer)
 
+    def _ended(self, job: Job, final: Final) -> None:
+        """A job of the waiting room has its end."""
+        self._forget(job)
+        if final.ran is Ran.NEVER and final.end not in (End.REFUSED, End.CANCELLED):
+            job.tell(encode(Type.WORK_WARNING, job.handle, f"never ran: {final.reason}".encode()))
+        self._finish(job, final.answer())
+
     def _finish(self, job: Job, answer: Answer) -> None:
         if answer.kind is Kind.SERVED:
             job.tell(encode(Type.WORK_COMPLETE, job.handle, answer.body))
@@ -159,6 +219,8 @@
         job.tell(encode(Type.WORK_FAIL, job.handle))
 
     def _running(self, job: Job, running: bool) -> None:
+        if running != job.running and job.handle in self._by_handle:
+            self._run[job.function.name] += 1 if running else -1
         job.running = running
 
     def _note(self, job: Job, note: Note) -> None:
@@ -175,15 +237,24 @@
         if self._by_handle.pop(job.handle, None) is None:  # a client that left has ended it before
             return
         self._held -= job.size
+        for counts, less in ((self._total, 1), (self._run, job.running)):
+            counts[job.function.name] -= less
+        for waiter in job.waiters:
+            self._by_waiter.get(waiter, {}).pop(job, None)
         if self._by_unique.get((job.function.name, job.unique)) is job:
             del self._by_unique[job.function.name, job.unique]
 
     def gone(self, waiter: Waiter) -> None:
         """A client left: a job that nobody waits for any more, and that was not left here to run, ends."""
-        for job in list(self._by_handle.values()):
-            if job.waiters.pop(waiter, 0) is None and not job.waiters and not job.background and job.task:
+        for job in self._by_waiter.pop(waiter, {}):
+            del job.waiters[waiter]
+            if job.waiters or job.background:
+                continue
+            if job.task is not None:
                 job.task.cancel()
-                self._forget(job)
+            elif self._room is not None:
+                self._room.cancel(job.handle.decode(), "its client left")
+            self._forget(job)
 
     # ---- What is asked about jobs ----
 
@@ -204,8 +275,7 @@
 
     def counts(self, function: str) -> tuple[int, int]:
         """Jobs of a function that have no end yet, and how many of them run."""
-        jobs = [j for j in self._by_handle.values() if j.function.name == function]
-        return len(jobs), sum(j.running for j in jobs)
+        return self._total[function], self._run[function]
 
     def waiting(self, function: str) -> int:
         """Jobs of a function that no worker runs yet."""
--- a/oxbowyard/gearman/packet.py
+++ b/oxbowyard/gearman/packet.py
@@ -70,6 +70,7 @@
     Type.SUBMIT_JOB_HIGH_BG: 3,
     Type.SUBMIT_JOB_LOW: 3,
     Type.SUBMIT_JOB_LOW_BG: 3,
+    Type.SUBMIT_JOB_EPOCH: 4,
     Type.GRAB_JOB: 0,
     Type.GRAB_JOB_UNIQ: 0,
     Type.GRAB_JOB_ALL: 0,
--- a/oxbowyard/gearman/workers.py
+++ b/oxbowyard/gearman/workers.py
@@ -11,6 +11,7 @@
 
 from ..core.req import Ending, FetchNotes, Note, NoteKind, Req
 from ..decision.facade import Readiness, Result, Scope, WorkerInfo
+from ..waiting.order import AGED
 from .config import KIND, GearmanConfig
 from .packet import Rejected, Type, encode
 
@@ -141,7 +142,8 @@
 
     def _announce(self, worker: Worker) -> None:
         functions = self._config.functions
-        classes = frozenset(functions[f].job_class.name for f in worker.abilities if f in functions)
+        names = [functions[f].job_class.name for f in worker.abilities if f in functions]
+        classes = frozenset(names + [name + AGED for name in names])
         if not classes and not worker.listed:
             return
         worker.listed = bool(classes)
