--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -38,6 +38,10 @@
     DRAINING = "draining"  # answered with an error: what still comes is dropped
 
 
+class Understood(web.Response):
+    """A 4xx to a proper request, as one for which there is no room: its connection goes on."""
+
+
 class Owner(Protocol):
     """What a connection needs of those who hold all of them."""
 
@@ -191,7 +195,8 @@
         self, request: BaseRequest, resp: StreamResponse, start_time: float | None
     ) -> tuple[StreamResponse, bool]:
         """Write an answer; after an error, take what the client still sends before the connection closes."""
-        faulty = 400 <= resp.status < 500 or not request.content.is_eof()
+        faulty = 400 <= resp.status < 500 and not isinstance(resp, Understood)
+        faulty = faulty or not request.content.is_eof()
         if faulty:  # whatever follows on this connection can't be trusted to be a request
             resp.force_close()
             self._owner.counts["bad requests"] += 1
--- a/oxbowyard/clients/waiting.py
+++ b/oxbowyard/clients/waiting.py
@@ -16,9 +16,10 @@
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
 
-from ..core.req import Kind, Req
+from ..core.req import Kind, Ran, Req
 from ..waiting.order import HIGH, LOW, Code, End, Final, Job, Parent, Rejected, State, Wait, When
 from ..waiting.room import WaitingRoom
+from .connection import Understood
 from .limits import MOST_DEADLINE
 from .session import WAITING_PATH, Bodies, read_body
 from .wording import (
@@ -39,7 +40,7 @@
 STATUSES = {
     Code.STOPPING: 503, Code.FULL: 429, Code.CLASS_FULL: 429, Code.TENANT_FULL: 429, Code.BYTES_FULL: 429,
     Code.UNKNOWN_CLASS: 404, Code.TOO_LARGE: 413, Code.BATCH_TOO_LARGE: 413, Code.DUPLICATE_ID: 409,
-    Code.CONFLICT: 409,
+    Code.CONFLICT: 409, Code.UNKNOWN_JOB: 404,
 }  # fmt: skip
 UNFIT = 422  # what no later try will mend
 PRIORITIES = {"high": HIGH, "normal": None, "low": LOW}
@@ -271,9 +272,7 @@
         text = query.get("wait_ms", ["0"])[0]
         if not text.isdecimal() or len(text) > 9:
             raise Fault(400, "wait_ms is not a number of milliseconds")
-        job = self._room.find(id_)
-        if job is None:
-            raise Fault(404, "no such job, or its end is no longer kept")
+        job = self._known(id_)
         return job, await self._room.wait(id_, int(text) / 1000)
 
     async def _ask(self, id_: str, query: dict[str, list[str]]) -> web.Response:
@@ -286,9 +285,11 @@
             return _json(202, self._view(job))
         answer = final.answer()
         if answer.kind is Kind.LEFT:
-            return web.Response(status=410, text="cancelled\n")
+            return Understood(status=410, text="cancelled\n")
         headers = answer_headers(answer) | {"Job-End": final.end.value, "Job-Ran": final.ran.value}
-        body = answer.body if final.end is End.SERVED else answer.reason.encode()
+        body = answer.body
+        if final.end is not End.SERVED:
+            body = f"{final.reason}{'; it never ran' if final.ran is Ran.NEVER else ''}\n".encode()
         return web.Response(status=STATUS[answer.kind], headers=headers, body=body)
 
     def _list(self, query: dict[str, list[str]]) -> web.Response:
@@ -305,10 +306,13 @@
         job = self._room.cancel(id_)
         if job is not None:
             return _json(200 if job.end is not None else 202, self._view(job))
-        known = self._room.find(id_)
-        if known is None:
-            raise Fault(404, "no such job, or its end is no longer kept")
-        return _json(409, self._view(known))
+        return _json(409, self._view(self._known(id_)))
+
+    def _known(self, id_: str) -> Job:
+        job = self._room.find(id_)
+        if job is None:
+            raise Rejected(Code.UNKNOWN_JOB, "no such job, or its end is no longer kept")
+        return job
 
 
 def _filter(query: dict[str, list[str]]) -> Callable[[Job], bool]:
@@ -325,14 +329,14 @@
 
 def _rejected(fault: Rejected) -> web.Response:
     body = msgspec.json.encode({"error": fault.code.value, "text": fault.text})
-    response = web.Response(status=STATUSES.get(fault.code, UNFIT), body=body, content_type=JSON)
+    response = Understood(status=STATUSES.get(fault.code, UNFIT), body=body, content_type=JSON)
     if fault.retry_after:
         response.headers["Retry-After"] = f"{fault.retry_after:.3f}"
     return response
 
 
 def _json(status: int, view: JobView | PageView) -> web.Response:
-    return web.Response(status=status, body=msgspec.json.encode(view), content_type=JSON)
+    return Understood(status=status, body=msgspec.json.encode(view), content_type=JSON)
 
 
 def _print(*parts: bytes) -> bytes:
--- a/oxbowyard/waiting/order.py
+++ b/oxbowyard/waiting/order.py
@@ -49,8 +49,9 @@
 
 
 class Code(Enum):
-    """Why a job is not taken."""
+    """Why a job is not taken, or what is asked about it not told."""
 
+    UNKNOWN_JOB = "unknown_job"
     STOPPING = "stopping"
     UNKNOWN_CLASS = "unknown_class"
     DUPLICATE_ID = "duplicate_id"
--- a/oxbowyard/waiting/policy.py
+++ b/oxbowyard/waiting/policy.py
@@ -418,7 +418,7 @@
             if job is None:
                 self._leaving = None
             elif job.waits:
-                self._end(job, now, End.STOPPED, "this scheduler stops; the job never ran")
+                self._end(job, now, End.STOPPED, "this scheduler stops")
         return steps
 
     def _release(self, now: float, steps: int) -> None:
--- a/tests/player.py
+++ b/tests/player.py
@@ -3,7 +3,8 @@
 A file is a list of lines; `#` starts a comment. Peers are named by the first word: d and d2 are discovery,
 s1.. are scan workers (listeners of the player), g.. connect to the Gearman front, and c.. to the HTTP front.
 
-    start [gearman[:NAME=VALUE]] ...    start the program; settings may be changed by dotted names,
+    start [gearman[:NAME=VALUE]] [operator[:NAME=VALUE]] ...
+                                      start the program; settings may be changed by dotted names,
                                       known=JSON is the list kept from before, limits=JSON the limits
     list / tell [d2] JSON             discovery answers the call that waits for it ($s1 is s1's address)
     reload NAME=JSON ... | TEXT       replace fields of the configuration, or all of it, and send SIGHUP
@@ -233,13 +234,9 @@
         options: list[str] = []
         known: dict[str, Any] = {}
         for word in words:
-            if word.startswith("gearman"):
-                text = (ROOT / "deploy/gearman.toml").read_text().replace(":4730", ":0")
-                if change := word.partition(":")[2]:
-                    name, _, value = change.partition("=")
-                    text = re.sub(rf"(?m)^{name} = \S+", f"{name} = {value}", text)
-                (self.folder / "gearman.toml").write_text(text)
-                options = ["--gearman", str(self.folder / "gearman.toml")]
+            front = word.partition(":")[0]
+            if front in ("gearman", "operator"):
+                options = [f"--{front}", str(self._operators_file(front, word))]
                 continue
             name, _, value = word.partition("=")
             *path, last = name.split(".")
@@ -255,6 +252,16 @@
         self.config = config
         self.program = Program(config, self.folder, options)
 
+    def _operators_file(self, front: str, word: str) -> Path:
+        text = (ROOT / f"deploy/{front}.toml").read_text().replace(":4730", ":0")
+        for change in word.split(":")[1:]:
+            name, _, value = change.partition("=")
+            text, found = re.subn(rf"(?m)^{name} = \S+", f"{name} = {value}", text)
+            assert found, f"no {name} in deploy/{front}.toml"
+        path = self.folder / f"{front}.toml"
+        path.write_text(text)
+        return path
+
     def _reload(self, rest: str) -> None:
         assert self.program
         text = rest
--- a/tests/test_descriptions.py
+++ b/tests/test_descriptions.py
@@ -8,19 +8,24 @@
 from typing import Any
 
 import jsonschema
+import msgspec
 import pytest
 from openapi_spec_validator import validate
 from player import ROOT
 
 from oxbowyard.backends.lines import LAST, LineReader
 from oxbowyard.clients.limits import MOST_BODY
+from oxbowyard.clients.waiting import BatchForm, JobForm, JobView
 from oxbowyard.clients.wording import DEADLINE_FORM, ID_FORM, STATUS
+from oxbowyard.core.req import Ran
 from oxbowyard.decision.facade import Result
+from oxbowyard.waiting.order import End, State
 
 OPENAPI: dict[str, Any] = json.loads((ROOT / "api/openapi.json").read_text())
+WAITING: dict[str, Any] = json.loads((ROOT / "api/openapi-waiting.json").read_text())
 ASYNCAPI: dict[str, Any] = json.loads((ROOT / "api/asyncapi.json").read_text())
 SUBMIT: dict[str, Any] = OPENAPI["paths"]["/{job_class}"]["post"]
-EXCHANGES = sorted((ROOT / "tests/exchanges").glob("http_*.txt"))
+EXCHANGES = [p for p in sorted((ROOT / "tests/exchanges").glob("http_*.txt")) if "waiting" not in p.stem]
 MESSAGES: dict[str, Any] = ASYNCAPI["components"]["messages"]
 
 
@@ -40,6 +45,7 @@
 
 def test_the_openapi_description_is_one() -> None:
     validate(OPENAPI)
+    validate(WAITING)
 
 
 def test_every_recorded_answer_is_described() -> None:
@@ -97,3 +103,36 @@
             jsonschema.validate(event, schema(event["state"]))
             count += 1
     assert count > 5
+
+
+def waiting_schema(name: str) -> dict[str, Any]:
+    return {"$ref": f"#/components/schemas/{name}", "components": WAITING["components"]}
+
+
+def test_the_recorded_waiting_jobs_fit_their_description() -> None:
+    """Each JSON answer of the exchanges by its form, and each status by those that are described."""
+    statuses = {s for path in WAITING["paths"].values() for op in path.values() for s in op["responses"]}
+    seen = set()
+    for path in (ROOT / "tests/exchanges").glob("http_waiting*.txt"):
+        text = path.read_text()
+        found = re.findall(r"^HTTP/1\.1 (\d+) [^\n]*\n(?:[^\n]+\n)*\n(\{[^\n]*\})$", text, re.M)
+        for status, body in found:
+            body = body.replace('"text":"*"', '"text":"x"')
+            name = "Error" if '"error"' in body else "Page" if '"next"' in body else "JobView"
+            jsonschema.validate(json.loads(body), waiting_schema(name))
+            seen.add(status)
+        seen |= set(re.findall(r"^c\d status (\d+)$", text, re.M))
+        form = r'^POST /jobs HTTP/1\.1\n(?:[^\n]+\n)*\n(\{"(?:id|jobs)":[^\n]*)$'
+        for body in re.findall(form, text, re.M):
+            if body != '{"jobs":[]}':
+                jsonschema.validate(json.loads(body), waiting_schema("Batch" if "jobs" in body else "Job"))
+    assert seen - {"405"} <= statuses and {"200", "202", "404", "409", "413", "422", "429"} <= seen
+
+
+def test_the_described_job_has_the_fields_that_the_program_takes() -> None:
+    schemas = WAITING["components"]["schemas"]
+    for name, form in (("Job", JobForm), ("JobView", JobView), ("Batch", BatchForm)):
+        assert set(schemas[name]["properties"]) == {f.encode_name for f in msgspec.structs.fields(form)}
+    assert set(schemas["State"]["enum"]) | {"forgotten"} == {s.value for s in State}
+    assert set(schemas["JobView"]["properties"]["end"]["enum"]) == {e.value for e in End}
+    assert set(schemas["JobView"]["properties"]["ran"]["enum"]) == {r.value for r in Ran}
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,124 @@
+"""The operator's file: all its faults in one go, each by its key; and nothing of it loaded without it."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from player import ROOT, SETTINGS, Program
+
+from oxbowyard.decision.facts import settings_of
+from oxbowyard.operator.file import MOST_FILE, Faulty, load
+from oxbowyard.waiting.settings import WaitingSettings
+
+CLASSES = settings_of(SETTINGS).classes
+FUNCTION = "[gearman]\nlisten = 'h:1'\n[gearman.functions.f]\nclass = 'preview'\n"
+
+
+def read(folder: Path, text: str) -> list[str]:
+    """The faults of a file."""
+    path = folder / "operator.toml"
+    path.write_text(text)
+    try:
+        load(path, CLASSES)
+    except Faulty as fault:
+        return list(fault.faults)
+    return []
+
+
+def test_the_deployed_file_is_one_and_says_what_holds_anyway() -> None:
+    found = load(ROOT / "deploy/operator.toml", CLASSES)
+    assert found.waiting is not None and found.gearman is not None
+    assert found.waiting.of("gearman:render_preview").queueing
+    assert not found.waiting.of("gearman:file_specimen").queueing
+    defaults = WaitingSettings(classes=found.waiting.classes)
+    assert found.waiting == defaults, "the file shows the defaults"
+
+
+def test_every_fault_is_named_by_its_key_in_one_go(tmp_path: Path) -> None:
+    faults = read(tmp_path, """
+        colour = "red"
+        [waiting]
+        max_jobs = -1
+        aged_per_s = 0
+        age_limit_s = "long"
+        [waiting.classes.preview]
+        quie = true
+        queueing = "yes"
+        [gearman]
+        max_queue = "x"
+        [gearman.functions.render]
+        worth = 1.0
+    """)  # fmt: skip
+    assert {fault.partition(":")[0] for fault in faults} == {
+        "colour", "waiting.max_jobs", "waiting.aged_per_s", "waiting.age_limit_s",
+        "waiting.classes.preview.quie", "waiting.classes.preview.queueing", "gearman.listen",
+        "gearman.max_queue", "gearman.functions.render.class",
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("[waiting]\nquiet_limit_s = 1.0", "waiting: quiet_limit_s must not be under age_limit_s"),
+        ("[waiting.classes.nobody]", "waiting.classes.nobody: no such class here"),
+        ("[gearman]\nlisten = 'x'", "gearman.listen is not an address"),
+        (FUNCTION + "queueing = true", "gearman.functions.f.queueing: needs the table"),
+        ("[waiting]\n" + FUNCTION + "patience_s = 1e6", "gearman.functions.f.patience_s: over"),
+        ("waiting = 3", "waiting: Expected"),
+        ("= 1", "line 1"),
+        ("#" * (MOST_FILE + 1), "over 1048576 bytes"),
+    ],
+)  # fmt: skip
+def test_what_values_say_together(text: str, named: str, tmp_path: Path) -> None:
+    (fault,) = read(tmp_path, text)
+    assert named in fault
+
+
+def test_a_file_that_is_not_there(tmp_path: Path) -> None:
+    with pytest.raises(Faulty, match="No such file"):
+        load(tmp_path / "none.toml", CLASSES)
+
+
+def config(folder: Path) -> dict[str, object]:
+    document: dict[str, object] = json.loads((ROOT / "examples/config.json").read_text())
+    return document | {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}
+
+
+def test_the_program_does_not_start_on_a_faulty_file(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text("[waiting]\nmax_jobs = 0\nmax_depth = 0")
+    program = Program(config(tmp_path), tmp_path, ["--operator", str(path)])
+    try:
+        found = program.wait_for("^oxbowyard: (.*)")[1]
+        assert "waiting.max_jobs" in found and "waiting.max_depth" in found
+        assert program.process.wait(10) == 1
+    finally:
+        program.end()
+
+
+def test_sighup_names_a_changed_table_and_keeps_the_one_in_force(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text("[waiting]\n")
+    program = Program(config(tmp_path), tmp_path, ["--operator", str(path)])
+    try:
+        program.wait_for("http listens")
+        path.write_text("[waiting]\nmax_jobs = 7")
+        program.process.send_signal(1)
+        program.wait_for("in force only after a restart: waiting")
+        path.write_text("[waiting]\nmax_jobs = 'x'")
+        program.process.send_signal(1)
+        program.wait_for("going on with the one in force: operator.toml: waiting.max_jobs")
+    finally:
+        program.end()
+
+
+def test_without_the_file_none_of_its_libraries_is_loaded() -> None:
+    code = "import sys, oxbowyard.__main__; print(*sys.modules)"
+    told = subprocess.run([sys.executable, "-c", code], cwd=ROOT, stdout=subprocess.PIPE, text=True).stdout
+    loaded = {name.partition(".")[0] for name in told.split()}
+    assert "aiohttp" in loaded and not loaded & {"msgspec", "sortedcontainers", "hypothesis"}
+    assert "oxbowyard.waiting.policy" not in told
--- /dev/null
+++ b/tests/test_waiting_room.py
@@ -0,0 +1,389 @@
+"""The owner of waiting jobs, over the core and the real decisions: every job gets its one end."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from virtual import play
+
+from oxbowyard.core.measure import ServiceMeasure
+from oxbowyard.core.req import Answer, Ending, FetchNotes, Kind, Ran, Req
+from oxbowyard.core.scheduler import Limits, Scheduler
+from oxbowyard.decision.facade import Facade, Readiness, Result, Scope, WorkerInfo
+from oxbowyard.decision.interface import JobClass, Repeat, Settings
+from oxbowyard.waiting.order import AGED, Changed, End, Final, Parent, Rejected, State, Wait, When
+from oxbowyard.waiting.room import WaitingRoom, bounded, with_aged
+from oxbowyard.waiting.settings import ClassSettings, WaitingSettings
+
+FREE = JobClass("free", aim=1000, deadline=5000, repeat=Repeat.FREE)
+ONCE = JobClass("once", aim=1000, deadline=5000, worth=8)
+CLASSES = (FREE, ONCE)
+Fetch = Callable[[str, Req, FetchNotes], Awaitable[Ending]]
+
+
+class Stage:
+    """A waiting room over a scheduler whose transport is one function."""
+
+    def __init__(
+        self, fetch: Fetch, workers: int = 4, ledger: Any = None, wall: Any = time.time, **more: Any
+    ) -> None:
+        changes: dict[str, Any] = {"classes": {"free": ClassSettings(queueing=True)}, "retry_first_s": 0.01}
+        waiting = WaitingSettings(**changes | more)
+        settings = Settings(
+            classes=with_aged(CLASSES, waiting), max_attempts=3, may_cancel=True, tells_start=True,
+            max_backoff=20.0, drain_grace=1000.0, cold_from=0.15, ramp=20_000.0, tip_multiple=2.5,
+            tip_after=3000.0,
+        )  # fmt: skip
+        clock = self.clock
+        self.facade = Facade(settings, 1, clock)
+        self.fetches: list[tuple[str, str, str, float]] = []
+        self._fetch = fetch
+        measure = ServiceMeasure(settings.classes)
+        self.scheduler = Scheduler(settings, self.facade, self, clock, measure, Limits())
+        self.room = WaitingRoom(waiting, CLASSES, self.scheduler, clock, "t", wall, ledger)
+        self.finals: dict[str, Final] = {}
+        self.ends: Counter[str] = Counter()
+        if workers:
+            self.list_(*(WorkerInfo(f"w{i}") for i in range(workers)))
+
+    def clock(self) -> float:
+        """Virtual time in ms."""
+        return asyncio.get_running_loop().time() * 1000
+
+    def list_(self, *infos: WorkerInfo, scope: Scope = Scope.FULL) -> None:
+        self.scheduler.learn(scope, infos)
+
+    async def fetch(self, backend: str, req: Req, notes: FetchNotes) -> Ending:
+        self.fetches.append((backend, req.id, req.job_class, self.clock()))
+        return await self._fetch(backend, req, notes)
+
+    def hand_in(self, id_: str, job_class: str = "free", **wait: Any) -> str:
+        req = Req(id_, job_class, 3600.0, target=f"/{job_class}", payload=b"x")
+
+        def ended(final: Final) -> None:
+            self.finals[id_] = final
+            self.ends[id_] += 1
+
+        return self.room.hand_in([(req, Wait(**wait))], ended)[0].id
+
+    async def until(self, *ids: str) -> list[End]:
+        async with asyncio.timeout(10):
+            while any(id_ not in self.finals for id_ in ids):
+                await asyncio.sleep(0.002)
+        return [self.finals[id_].end for id_ in ids]
+
+
+async def served(backend: str, req: Req, notes: FetchNotes) -> Ending:
+    notes.written = True
+    notes.on_began()
+    await asyncio.sleep(0.001)
+    return Ending(Result.OK, b"made " + req.id.encode())
+
+
+async def hangs(backend: str, req: Req, notes: FetchNotes) -> Ending:
+    notes.written = True
+    notes.on_began()
+    await asyncio.sleep(60)
+    raise AssertionError("never here")
+
+
+async def error(backend: str, req: Req, notes: FetchNotes) -> Ending:
+    notes.written = True
+    return Ending(Result.ERROR)
+
+
+async def full(backend: str, req: Req, notes: FetchNotes) -> Ending:
+    return Ending(Result.FULL)
+
+
+def test_a_child_runs_after_its_parent_and_the_library_awaits_both() -> None:
+    async def scene() -> None:
+        stage = Stage(served)
+        room = stage.room
+        child = asyncio.create_task(
+            room.serve(Req("c", "once", 60.0), Wait(after=(Parent("p"),)))
+            if stage.hand_in("p", delay=0.05)
+            else room.serve(Req("x", "once", 1.0), Wait())
+        )
+        answer = await child
+        assert (answer.kind, answer.body, answer.ran) == (Kind.SERVED, b"made c", Ran.YES)
+        assert [id_ for _, id_, _, _ in stage.fetches] == ["p", "c"]
+        again = await room.serve(Req("c2", "once", 60.0), Wait(token="k"))
+        assert again.body == b"made c2"
+        assert (await room.serve(Req("c3", "once", 60.0), Wait(token="k"))).body == b"made c2"  # the same job
+
+    play(scene)
+
+
+def test_a_refused_job_is_asked_again_until_it_is_served() -> None:
+    async def scene() -> None:
+        stage = Stage(full)
+        stage.hand_in("a", patience=30.0)
+        while len(stage.fetches) < 10:
+            await asyncio.sleep(0.005)
+        stage._fetch = served
+        assert await stage.until("a") == [End.SERVED]
+        asks = {id_ for _, id_, _, _ in stage.fetches}
+        assert len(asks) > 2  # each ask is a new req, as from a client that comes back
+        assert all(sum(x == id_ for _, x, _, _ in stage.fetches) <= 3 for id_ in asks)
+
+    play(scene)
+
+
+def test_refused_without_end_it_ends_with_its_patience() -> None:
+    async def scene() -> None:
+        stage = Stage(full)
+        stage.hand_in("a", patience=0.4)
+        assert (await stage.until("a"))[0] in (End.EXPIRED, End.REFUSED)
+        assert stage.finals["a"].ran is Ran.NEVER and stage.finals["a"].answer().kind is Kind.REFUSED
+        stage.hand_in("b", "once", patience=30.0)  # its class does not queue
+        assert await stage.until("b") == [End.REFUSED]
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("fetch", "end", "ran", "either"),
+    [(error, End.FAILED, Ran.MAYBE, End.SERVED), (hangs, End.CANCELLED, Ran.OPEN, End.ORPHANED)],
+)
+def test_a_parent_that_may_still_run_frees_nobody(fetch: Fetch, end: End, ran: Ran, either: End) -> None:
+    async def scene() -> None:
+        stage = Stage(fetch)
+        stage.hand_in("p", "once")
+        stage.hand_in("strict", after=(Parent("p"),))
+        stage.hand_in("either", after=(Parent("p", When.ENDED),))
+        while not stage.fetches:
+            await asyncio.sleep(0)
+        stage._fetch = served
+        await asyncio.sleep(0.01)
+        if fetch is hangs:
+            job = stage.room.cancel("p")
+            assert job is not None and stage.room.cancel("p") is job  # twice does no harm
+        assert await stage.until("p", "strict", "either") == [end, End.ORPHANED, either]
+        assert stage.finals["p"].ran is ran
+        assert set(stage.ends.values()) == {1}
+
+    play(scene)
+
+
+def test_a_client_that_leaves_ends_its_job_and_the_family() -> None:
+    async def scene() -> None:
+        stage = Stage(served)
+        waits = asyncio.create_task(stage.room.serve(Req("p", "once", 60.0), Wait(delay=60.0)))
+        await asyncio.sleep(0)
+        stage.hand_in("c", after=(Parent("p"),))
+        waits.cancel()
+        assert await stage.until("c") == [End.ORPHANED]
+        assert stage.fetches == [] and stage.room.find("p").end is End.CANCELLED  # type: ignore[union-attr]
+
+    play(scene)
+
+
+@pytest.mark.parametrize("hours", [-1.0, 24.0])
+def test_the_systems_clock_may_step(hours: float) -> None:
+    async def scene() -> None:
+        wall = [1e9]
+        stage = Stage(served, wall=lambda: wall[0])
+        stage.hand_in("a", not_before=1e9 + 0.2)
+        stage.hand_in("b", delay=0.1)
+        wall[0] += hours * 3600
+        await asyncio.sleep(0.05)
+        assert stage.fetches == []
+        assert await stage.until("a", "b") == [End.SERVED, End.SERVED]
+        stage.hand_in("past", not_before=1.0)
+        assert await stage.until("past") == [End.SERVED]
+
+    play(scene)
+
+
+def test_a_thousand_that_wait_end_as_never_run_when_the_program_stops() -> None:
+    async def scene() -> None:
+        stage = Stage(hangs)
+        for i in range(1_000):
+            stage.hand_in(f"j{i}", delay=60.0 if i % 2 else 0.0)
+        await asyncio.sleep(0.02)
+        asked = {id_ for _, id_, _, _ in stage.fetches}
+        poll = asyncio.create_task(stage.room.wait("j1", 60.0))
+        await asyncio.sleep(0)
+        stage.room.wind_down()
+        final = await poll
+        assert final is not None and final.end is End.STOPPED and final.retry_after > 0
+        assert final.ran is Ran.NEVER
+        ids = [f"j{i}" for i in range(1_000) if f"j{i}" not in asked]
+        assert set(await stage.until(*ids)) == {End.STOPPED} and set(stage.ends.values()) == {1}
+        with pytest.raises(Rejected):
+            stage.hand_in("late")
+        for id_ in asked:
+            stage.room.cancel(id_)
+        await stage.room.idle()
+        assert len(stage.ends) == 1_000
+
+    play(scene)
+
+
+class Slow:
+    """A ledger that keeps what waits, and is safe only when told."""
+
+    keeps = True
+
+    def __init__(self) -> None:
+        self.changes: list[tuple[str, State]] = []
+        self.then: list[Callable[[], None]] = []
+
+    def record(self, change: Changed) -> None:
+        self.changes.append((change.job.id, change.state))
+
+    def when_safe(self, then: Callable[[], None]) -> None:
+        self.then.append(then)
+
+    def settle(self) -> None:
+        waiting, self.then = self.then, []
+        for then in waiting:
+            then()
+
+
+def test_every_change_goes_to_the_ledger_and_a_release_waits_for_it() -> None:
+    async def scene() -> None:
+        ledger = Slow()
+        stage = Stage(served, ledger=ledger)
+        stage.hand_in("a")
+        stage.hand_in("b", delay=60.0)
+        stage.hand_in("cut")
+        stage.room.cancel("cut")
+        await asyncio.sleep(0.02)
+        assert stage.fetches == [] and ("a", State.ASKED) in ledger.changes
+        ledger.settle()
+        assert await stage.until("a", "cut") == [End.SERVED, End.CANCELLED]
+        states = [state for id_, state in ledger.changes if id_ == "a"]
+        assert states == [State.HELD, State.READY, State.ASKED, State.STARTED, State.ENDED]
+        assert [id_ for _, id_, _, _ in stage.fetches] == ["a"]
+        poll = asyncio.create_task(stage.room.wait("b", 60.0))
+        await asyncio.sleep(0)
+        stage.room.wind_down()  # what waits is kept, so it has no end here
+        await stage.room.idle()
+        assert await poll is None and "b" not in stage.finals
+
+    play(scene)
+
+
+def test_one_fronts_fault_does_not_cost_the_others_their_ends(caplog: pytest.LogCaptureFixture) -> None:
+    async def scene() -> None:
+        stage = Stage(served)
+
+        def broken(final: Final) -> None:
+            raise ZeroDivisionError
+
+        stage.room.hand_in([(Req("bad", "free", 5.0), Wait(delay=0.02))], broken)
+        stage.hand_in("good", delay=0.02)
+        assert await stage.until("good") == [End.SERVED]
+        assert "could not carry out" in caplog.text
+
+    play(scene)
+
+
+class Slots:
+    """Workers that run four jobs at once and let others wait their turn."""
+
+    def __init__(self, seconds: float = 0.01) -> None:
+        self._seconds = seconds
+        self._slots: dict[str, asyncio.Semaphore] = {}
+        self.waits: list[tuple[str, float]] = []
+
+    async def fetch(self, backend: str, req: Req, notes: FetchNotes) -> Ending:
+        notes.written = True
+        loop = asyncio.get_running_loop()
+        came = loop.time()
+        async with self._slots.setdefault(backend, asyncio.Semaphore(4)):
+            self.waits.append((backend, loop.time() - came))
+            notes.on_began()
+            await asyncio.sleep(self._seconds)
+            return Ending(Result.OK)
+
+
+def test_no_new_work_after_a_drain_notice_and_little_to_a_cold_successor() -> None:
+    async def scene() -> None:
+        workers = Slots(0.03)
+        stage = Stage(workers.fetch, workers=2)
+        ids = [stage.hand_in(f"j{i}") for i in range(300)]
+        while len(stage.fetches) < 60:
+            await asyncio.sleep(0.002)
+        stage.list_(
+            WorkerInfo("w0", Readiness.DRAINING),
+            WorkerInfo("cold", online_since=stage.clock()),
+            scope=Scope.CHANGES,
+        )
+        told = len(stage.fetches)
+        await stage.until(*ids)
+        after = Counter(backend for backend, _, _, _ in stage.fetches[told:])
+        assert not after["w0"]
+        # 2.5 times what it can do: under 0.3 of 4 slots with jobs of 30 ms, for the 3 s that all take.
+        assert 0 < after["cold"] < 2.5 * 0.3 * 4 / 0.03 * 3 and after["w1"] > 100
+        assert {final.end for final in stage.finals.values()} == {End.SERVED}
+
+    play(scene)
+
+
+def test_a_shrinking_fleet_gets_no_more_than_it_takes() -> None:
+    async def scene() -> None:
+        workers = Slots()
+        stage = Stage(workers.fetch, workers=6)
+        ids = [stage.hand_in(f"j{i}", delay=0.05) for i in range(400)]
+        while len(stage.fetches) < 100:
+            await asyncio.sleep(0.002)
+        stage.list_(*(WorkerInfo(f"w{i}", Readiness.GONE) for i in range(1, 6)), scope=Scope.CHANGES)
+        await asyncio.sleep(0.05)  # what was out has ended
+        workers.waits.clear()
+        await stage.until(*ids)
+        assert set(stage.ends.values()) == {1}
+        # All that are due, sent at once, would have made the last wait for 0.7 s.
+        assert {backend for backend, _ in workers.waits} == {"w0"}
+        assert max(wait for _, wait in workers.waits) < 0.4
+
+    play(scene)
+
+
+def test_an_aged_job_is_asked_with_the_patience_to_queue() -> None:
+    async def scene() -> None:
+        stage = Stage(hangs, workers=1, age_limit_s=0.1, quiet_limit_s=0.1, aged_per_s=100.0)
+        for i in range(12):
+            stage.hand_in(f"j{i}")
+        while not any(name.endswith(AGED) for _, _, name, _ in stage.fetches):
+            await asyncio.sleep(0.005)
+
+    play(scene)
+
+
+def test_limits_of_watchers_and_of_the_window() -> None:
+    async def scene() -> None:
+        stage = Stage(served, max_watchers=1)
+        stage.hand_in("a", delay=60.0)
+        poll = asyncio.create_task(stage.room.wait("a", 60.0))
+        await asyncio.sleep(0)
+        with pytest.raises(Rejected, match="1 wait already"):
+            await stage.room.wait("a", 60.0)
+        poll.cancel()
+        await asyncio.gather(poll, return_exceptions=True)
+        assert await stage.room.wait("a", 0.01) is None
+        assert bounded(stage.room.settings, reqs=5).max_window == 2
+
+    play(scene)
+
+
+def test_answers_say_what_is_known_of_the_run() -> None:
+    async def scene() -> None:
+        stage = Stage(error)
+        answer: Answer = await stage.scheduler.serve(Req("r", "once", 1.0))
+        assert (answer.kind, answer.ran) == (Kind.FAILED, Ran.MAYBE)
+        stage._fetch = hangs
+        answer = await stage.scheduler.serve(Req("r", "once", 0.1))
+        assert (answer.kind, answer.ran) == (Kind.FAILED, Ran.OPEN)
+        stage._fetch = full
+        answer = await stage.scheduler.serve(Req("r", "once", 0.3))
+        assert (answer.kind, answer.ran) == (Kind.REFUSED, Ran.NEVER)
+
+    play(scene)
