--- /dev/null
+++ b/benchmarks/gear_queue.py
@@ -0,0 +1,112 @@
+"""The case that asked for queueing: 200 jobs of the `gear` client library at once, four workers, 20 runs.
+
+    pip install -r benchmarks/requirements-gear.txt
+    python -m benchmarks.gear_queue [--runs 20] [--plain]
+
+`--plain` runs it without the waiting room, as it was. The workers answer at once, as gear's own workers do.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import threading
+import time
+from collections import Counter
+
+import gear  # type: ignore[import-not-found,import-untyped,unused-ignore]  # not among CI's
+
+from .started import ROOT, Daemon, daemon
+
+JOBS, WORKERS = 200, 4
+RUN_WITHIN = 120.0  # seconds
+FUNCTION = "render_preview"
+
+
+class Client(gear.Client):  # type: ignore[misc,unused-ignore]
+    """Counts the ends of its jobs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ends: Counter[str] = Counter()
+        self.each: Counter[bytes] = Counter()
+        self.done = threading.Event()
+
+    def _end(self, packet: gear.Packet, how: str) -> gear.Job:
+        job = packet.getJob()
+        self.each[job.handle] += 1
+        self.ends[how] += 1
+        if sum(self.ends.values()) >= JOBS:
+            self.done.set()
+        return job
+
+    def handleWorkComplete(self, packet: gear.Packet) -> gear.Job:  # noqa: N802
+        """One was served."""
+        self._end(packet, "served")
+        return super().handleWorkComplete(packet)
+
+    def handleWorkFail(self, packet: gear.Packet) -> gear.Job:  # noqa: N802
+        """One failed."""
+        self._end(packet, "failed")
+        return super().handleWorkFail(packet)
+
+
+def work(worker: gear.Worker) -> None:
+    """Answer at once, until it is shut down."""
+    while True:
+        try:
+            worker.getJob().sendWorkComplete(b"made")
+        except (gear.InterruptedError, gear.GearmanError, OSError):
+            return
+
+
+def run(started: Daemon) -> tuple[Counter[str], float]:
+    """One run: how the jobs ended, and the seconds that they took."""
+    host, port = started.address("gearman")
+    workers = []
+    for i in range(WORKERS):
+        worker = gear.Worker(f"w{i}")
+        worker.addServer(host, port)
+        worker.waitForServer()
+        worker.registerFunction(FUNCTION)
+        threading.Thread(target=work, args=(worker,), daemon=True).start()
+        workers.append(worker)
+    client = Client()
+    client.addServer(host, port)
+    client.waitForServer()
+    start = time.monotonic()
+    for i in range(JOBS):
+        client.submitJob(gear.Job(FUNCTION.encode(), b"sheet %d" % i))
+    client.done.wait(RUN_WITHIN)
+    taken = time.monotonic() - start
+    assert set(client.each.values()) <= {1}, "a job with two ends"
+    for worker in workers:
+        worker.stopWaitingForJobs()
+        worker.shutdown()
+    client.shutdown()
+    return client.ends, taken
+
+
+def main() -> None:
+    """Print a line a run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=20)
+    parser.add_argument("--plain", action="store_true")
+    options = parser.parse_args()
+    text = (ROOT / "deploy/operator.toml").read_text().replace(":4730", ":0")
+    if options.plain:
+        lines = text.partition("[gearman]")[2].splitlines()
+        text = "[gearman]" + "\n".join(x for x in lines if "patience" not in x and "queueing" not in x)
+    whole, rates = 0, []
+    for number in range(options.runs):
+        with daemon(text) as started:
+            ends, taken = run(started)
+        whole += ends["served"] == JOBS
+        rates.append(sum(ends.values()) / taken)
+        print(f"run {number + 1}: {dict(ends)} in {taken:.2f} s, {rates[-1]:.0f} jobs/s", flush=True)
+    rate = statistics.median(rates)
+    print(f"{whole} of {options.runs} runs with {JOBS} of {JOBS}; {rate:.0f} jobs/s (median)")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/standin.py
@@ -0,0 +1,96 @@
+"""Stand-in workers and discovery for measurements, on loopback: the platform's protocol, as far as needed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from dataclasses import dataclass, field
+
+HEAD_END = b"\r\n\r\n"
+
+
+@dataclass(slots=True)
+class Run:
+    """One job at a worker."""
+
+    id: str
+    job_class: str
+    began: float
+    ended: float
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Workers with slots, first come first served, and the list that names them."""
+
+    workers: int
+    slots: int
+    seconds: dict[str, float]  # how long a job of a class runs
+    runs: list[Run] = field(default_factory=list)
+    most_waiting: int = 0
+    _ports: list[int] = field(default_factory=list)
+    _servers: list[asyncio.Server] = field(default_factory=list)
+
+    async def start(self) -> str:
+        """Begin to listen; returns discovery's address."""
+        for _ in range(self.workers):
+            free = asyncio.Semaphore(self.slots)
+            self._ports.append(await self._listen(lambda r, w, free=free: self._work(r, w, free)))
+        return f"127.0.0.1:{await self._listen(self._discover)}"
+
+    async def _listen(self, handler: object) -> int:
+        server = await asyncio.start_server(handler, "127.0.0.1", 0)  # type: ignore[arg-type]
+        self._servers.append(server)
+        return int(server.sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        """Listen no more."""
+        for server in self._servers:
+            server.close()
+
+    async def _discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        entry = {"az": "a", "model": "m", "state": "ready", "boot_ms": 0}
+        targets = [{"uid": f"w{i}", "endpoint": f"127.0.0.1:{p}", **entry} for i, p in enumerate(self._ports)]
+        try:
+            while head := await reader.readuntil(HEAD_END):
+                whole = b"after=" not in head
+                if not whole:  # a watch, and nothing ever changes
+                    await asyncio.sleep(int((re.search(rb"wait_ms=(\d+)", head) or [b"", b"0"])[1]) / 1000)
+                body = json.dumps({"rev": 1, "all": whole, "targets": targets if whole else []}).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):  # the last one: we close
+            writer.close()
+
+    async def _work(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, free: asyncio.Semaphore
+    ) -> None:
+        try:
+            head = (await reader.readuntil(HEAD_END)).decode("latin-1")
+            size = re.search(r"(?i)content-length: (\d+)", head)
+            await reader.readexactly(int(size[1]) if size else 0)
+            id_ = (re.search(r"(?i)req-id: (\S+)", head) or ["", ""])[1]
+            kind = (re.search(r"(?i)req-kind: (\S+)", head) or ["", ""])[1]
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n")
+            async with free:
+                if not writer.is_closing():
+                    await self._run(id_, kind, writer)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def _run(self, id_: str, kind: str, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        _line(writer, {"id": id_, "state": "started"})
+        await asyncio.sleep(self.seconds[kind])
+        self.runs.append(Run(id_, kind, began, loop.time()))
+        _line(writer, {"id": id_, "state": "done", "result": "made"})
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+def _line(writer: asyncio.StreamWriter, event: dict[str, str]) -> None:
+    data = json.dumps(event).encode() + b"\n"
+    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
--- /dev/null
+++ b/benchmarks/started.py
@@ -0,0 +1,70 @@
+"""Starts the daemon for a measurement, on loopback, with files of its own."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+WITHIN = 15.0  # seconds for a line of its log
+
+
+class Daemon:
+    """A started program."""
+
+    def __init__(self, folder: Path, config: dict[str, Any], operator: str | None) -> None:
+        path, self._log = folder / "config.json", folder / "log"
+        path.write_text(json.dumps(config))
+        options: list[str] = []
+        if operator is not None:
+            (folder / "operator.toml").write_text(operator)
+            options = ["--operator", str(folder / "operator.toml")]
+        with self._log.open("w") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "oxbowyard", *options], cwd=ROOT, stderr=log,
+                env={**os.environ, "LB_CONFIG": str(path)},
+            )  # fmt: skip
+
+    def wait_for(self, pattern: str) -> re.Match[str]:
+        """The first line of its log that fits."""
+        end = time.monotonic() + WITHIN
+        while time.monotonic() < end and self.process.poll() is None:
+            if found := re.search(pattern, self._log.read_text()):
+                return found
+            time.sleep(0.02)
+        raise RuntimeError(f"no {pattern!r} in:\n{self._log.read_text()}")
+
+    def address(self, front: str) -> tuple[str, int]:
+        """Where a front listens."""
+        found = self.wait_for(rf"{front} listens on ([\d.]+):(\d+)")
+        return found[1], int(found[2])
+
+    def last(self) -> str:
+        """Stop it and give the last lines of its log."""
+        self.process.terminate()
+        self.process.wait(60)
+        return "\n".join(line for line in self._log.read_text().splitlines() if " last: " in line)
+
+
+@contextmanager
+def daemon(operator: str | None, discovery: str = "127.0.0.1:1", **changes: Any) -> Iterator[Daemon]:
+    """A daemon with the example's settings; it is gone at the end. Changes replace keys of the file."""
+    config = json.loads((ROOT / "examples/config.json").read_text())
+    config |= {"listen": "127.0.0.1:0", "discovery": discovery} | changes
+    with tempfile.TemporaryDirectory() as folder:
+        started = Daemon(Path(folder), config, operator)
+        try:
+            yield started
+        finally:
+            if started.process.poll() is None:
+                started.process.kill()
+                started.process.wait(10)
--- a/oxbowyard/clients/waiting.py
+++ b/oxbowyard/clients/waiting.py
@@ -47,6 +47,7 @@
 MOST_TOKEN = 255  # bytes of an idempotency key
 MOST_TENANT = 128
 JSON = "application/json"
+NEW_EACH_TIME = ("req-id:", "req-retry:")  # headers that a repeated hand-in may well have otherwise
 
 
 class ParentForm(msgspec.Struct, forbid_unknown_fields=True):
@@ -190,6 +191,7 @@
         patience, until = single(headers, "Wait-Patience"), single(headers, "Wait-Until")
         delay = single(headers, "Wait-Delay")
         told = [f"{n}: {v}" for n, v in sorted(headers.items()) if n.lower().startswith(("wait-", "req-"))]
+        told = [line for line in told if not line.lower().startswith(NEW_EACH_TIME)]
         wait = Wait(
             _time(patience, "Wait-Patience") if patience else None,
             _parents(single(headers, "Wait-After")),
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -67,10 +67,13 @@
         self.config = config
         self.classes = frozenset(c.name for c in config.settings.classes)
         settings = _with_functions(config.settings, gearman)
-        plain = settings.classes
+        plain = measured = settings.classes
         if waiting is not None:
-            settings = _with_aged(settings, waiting)
-        self.measure = ServiceMeasure(settings.classes, config.by_work)
+            from ..waiting.room import with_aged
+
+            measured = with_aged(plain, waiting, times=0.0)  # in time is what is so for its own class
+            settings = replace(settings, classes=with_aged(plain, waiting))
+        self.measure = ServiceMeasure(measured, config.by_work)
         self.roster = Roster(clock, settings.drain_grace)
         self.room = Room.of(config.sockets, config.most_held, gearman.max_connections if gearman else 0)
         self.backends = HttpBackends(
@@ -128,12 +131,6 @@
         return f"service {self.measure.share:.3f}, open {open_count}, answers: {answers or 'none'}"
 
 
-def _with_aged(settings: Settings, waiting: WaitingSettings) -> Settings:
-    from ..waiting.room import with_aged
-
-    return replace(settings, classes=with_aged(settings.classes, waiting))
-
-
 def _room(
     waiting: WaitingSettings,
     classes: Iterable[JobClass],
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -15,6 +15,7 @@
 from ..gearman.config import GearmanConfig
 from ..listeners.gate import Gate
 from .assembly import Assembly
+from .collector import collect_when_few, spare_full_passes
 from .config import BadConfig, Config, needs_restart
 
 if TYPE_CHECKING:  # only where the operator's file has its table
@@ -110,6 +111,9 @@
         self._parts.start()
         self._parts.add_chore(self._watch_lag())
         self._parts.add_chore(self._tell())
+        if (room := self._parts.waiting) is not None:
+            spare_full_passes()
+            self._parts.add_chore(collect_when_few(lambda: room.held.jobs))
         gate.open()
         return gate
 
--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -784,6 +784,7 @@
     def _forget(self, job: _Job) -> None:
         if job.done and not job.out:
             self.jobs.pop(job.id, None)
+            job.attempts.clear()  # each names its job: a circle that only a full collection would end
             if job.line is not None and job.line.jobs.pop(job, 0) is None:
                 self.turns.append(job.line)
 
--- a/oxbowyard/waiting/policy.py
+++ b/oxbowyard/waiting/policy.py
@@ -34,7 +34,9 @@
 from .pace import LOOK_MS, Fleet, Pace
 from .settings import WaitingSettings
 
-SLICE = 200  # steps of work in one call: some 3 ms
+SLICE = 200  # steps of work in one tick: some 3 ms
+RELEASES = 16  # jobs released in one call: each costs the core some 0.1 ms in the loop's next turn
+FEW = 4  # in any other call, for what it has set free itself: many of these may come in one turn of a loop
 LOOKED_AT = 5_000  # jobs looked at for one page of a listing: some 2 ms
 
 
@@ -77,6 +79,7 @@
         self._kept: deque[tuple[float, Job, int]] = deque()  # ended ones: when forgotten, bytes of the result
         self._leaving: Iterator[Job] | None = None
         self._stopping = False
+        self._more = False  # the last call broke off
         self._number = 0
         self._out: list[Action] = []
         self.held = Held()
@@ -115,7 +118,7 @@
 
     def next_tick(self, now: float) -> float | None:
         """When to call `tick`; None: no need."""
-        if self._settling or self._leaving is not None:
+        if self._more or self._settling or self._leaving is not None:
             return now
         times = []
         if self._timers:
@@ -139,7 +142,7 @@
         taken = {}
         for order, depth in in_turn(orders, self._jobs.get, self._settings):
             taken[order.id] = self._enter(now, order, depth)
-        self._work(now, SLICE)
+        self._work_on(now, FEW)
         return [taken[order.id] for order in orders]
 
     def _repeated(self, order: Order) -> Job | None:
@@ -289,7 +292,7 @@
         if job is None or not job.waits:
             return None
         self._end(job, now, End.CANCELLED, reason)
-        self._work(now, SLICE)
+        self._work_on(now, FEW)
         return job
 
     def stop(self, now: float, keep: bool = False) -> None:
@@ -300,7 +303,7 @@
         self._stopping = True
         if not keep:
             self._leaving = iter(list(self._jobs.values()))
-        self._work(now, SLICE)
+        self._work_on(now, FEW)
 
     def began(self, now: float, job: Job, delay: float) -> None:
         """A backend started a released job, so many ms after it was asked."""
@@ -319,7 +322,7 @@
             job.due = max(job.due, now)
             self._to(job, State.TIMED)
             self._set_timer(job, min(now + wait, job.expiry))
-        self._work(now, SLICE)
+        self._work_on(now, FEW)
 
     def ended(self, now: float, job: Job, end: End, ran: Ran, reason: str = "", size: int = 0) -> None:
         """A released job has its answer; `size` are the bytes of its result."""
@@ -328,7 +331,7 @@
             window.went_well()
         window.out -= 1
         self._end(job, now, end, reason, ran, size)
-        self._work(now, SLICE)
+        self._work_on(now, FEW)
 
     def _end(
         self, job: Job, now: float, end: End, reason: str, ran: Ran = Ran.NEVER, size: int = 0
@@ -398,9 +401,9 @@
 
     def tick(self, now: float) -> None:
         """Do a slice of what is due."""
-        self._work(now, SLICE)
+        self._work_on(now, SLICE)
 
-    def _work(self, now: float, steps: int) -> None:
+    def _work_on(self, now: float, steps: int) -> None:
         steps = self._leave(now, steps)
         steps = self._settle(now, steps)
         while steps > 0 and self._timers and self._timers[0][0] <= now:
@@ -408,8 +411,9 @@
             steps -= 1
         steps = self._settle(now, steps)
         steps = self._forget(now, steps)
-        if self._leaving is None and not self._stopping:
-            self._release(now, steps)
+        if not self._stopping:
+            steps = self._release(now, min(steps, RELEASES))
+        self._more = steps <= 0
 
     def _leave(self, now: float, steps: int) -> int:
         while steps > 0 and self._leaving is not None:
@@ -421,7 +425,7 @@
                 self._end(job, now, End.STOPPED, "this scheduler stops")
         return steps
 
-    def _release(self, now: float, steps: int) -> None:
+    def _release(self, now: float, steps: int) -> int:
         while steps > 0 and (job := self._next(now)) is not None:
             steps -= 1
             (self._quiet if job.state is State.QUIET else self._ready).drop(job)
@@ -432,6 +436,7 @@
             aged = aged and job.state is State.READY and self._settings.of(job.job_class).queueing
             self._to(job, State.ASKED)
             self._out.append(Release(job, job.job_class + AGED if aged else job.job_class))
+        return steps
 
     def _next(self, now: float) -> Job | None:
         """Whose turn it is: the earliest due that may go, else one that is overdue, else a quiet one."""
--- a/oxbowyard/waiting/room.py
+++ b/oxbowyard/waiting/room.py
@@ -34,13 +34,16 @@
     Wait,
 )
 from .pace import Room
-from .policy import Policy
+from .policy import Held, Policy
 from .settings import WaitingSettings
 
 log = logging.getLogger("oxbowyard.waiting")
 
 LOOK_AGAIN_MS = 50.0  # what the list says of a class's workers is reckoned anew so often: it walks them
 WEIGH_EVERY_MS = 1000.0  # mean running times are taken over for the order of release
+# An aged job's aim in deadlines. By the decisions' settings a class that earns little for its work may wait
+# for a sixth of its aim: so only a wait past its deadline may be refused to it.
+PATIENT = 6.0
 ENDS = {Kind.SERVED: End.SERVED, Kind.REFUSED: End.REFUSED, Kind.FAILED: End.FAILED, Kind.LEFT: End.CANCELLED}
 
 
@@ -398,6 +401,11 @@
         if (on_end := self._on_end.pop(job.id, None)) is not None:
             on_end(final)
 
+    @property
+    def held(self) -> Held:
+        """What is held now."""
+        return self._policy.held
+
     def summary(self) -> str:
         """What waits, by state, and the ends so far, in a line."""
         held = self._policy.held
@@ -410,15 +418,17 @@
         )
 
 
-def with_aged(classes: Iterable[JobClass], settings: WaitingSettings) -> tuple[JobClass, ...]:
+def with_aged(
+    classes: Iterable[JobClass], settings: WaitingSettings, times: float = PATIENT
+) -> tuple[JobClass, ...]:
     """The classes, and for each that queues one more in which its aged jobs are asked.
 
-    It differs in its aim, which is the deadline: the decisions refuse what would wait long for its aim, and a
-    job that has waited so long before is to queue at a worker and have its turn.
+    It differs in its aim, so many times the deadline: the decisions refuse what would wait for too large a
+    share of its aim, and a job that has waited so long before is to queue at a worker and have its turn.
     """
     named = tuple(classes)
     queueing = (c for c in named if settings.of(c.name).queueing)
-    return named + tuple(replace(c, name=c.name + AGED, aim=max(c.aim, c.deadline)) for c in queueing)
+    return named + tuple(replace(c, name=c.name + AGED, aim=max(c.aim, times * c.deadline)) for c in queueing)
 
 
 def bounded(settings: WaitingSettings, reqs: int) -> WaitingSettings:
--- a/tests/test_waiting_room.py
+++ b/tests/test_waiting_room.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -14,6 +15,7 @@
 from oxbowyard.core.measure import ServiceMeasure
 from oxbowyard.core.req import Answer, Ending, FetchNotes, Kind, Ran, Req
 from oxbowyard.core.scheduler import Limits, Scheduler
+from oxbowyard.daemon.collector import AT_LAST, FEW_JOBS, LOOK_EVERY, collect_when_few
 from oxbowyard.decision.facade import Facade, Readiness, Result, Scope, WorkerInfo
 from oxbowyard.decision.interface import JobClass, Repeat, Settings
 from oxbowyard.waiting.order import AGED, Changed, End, Final, Parent, Rejected, State, Wait, When
@@ -387,3 +389,34 @@
         assert (answer.kind, answer.ran) == (Kind.REFUSED, Ran.NEVER)
 
     play(scene)
+
+
+def test_served_reqs_leave_no_circles_and_full_collections_wait_for_few_jobs() -> None:
+    async def scene() -> None:
+        stage = Stage(served)
+        await asyncio.sleep(0)
+        gc.collect()
+        await stage.until(*(stage.hand_in(f"j{i}") for i in range(200)))
+        await asyncio.sleep(10)
+        assert gc.collect() < 50  # not one a req
+        many = [FEW_JOBS + 1]
+        passes: list[float] = []
+        gc.callbacks.append(lambda phase, info: passes.append(info["generation"] if phase == "start" else -1))
+        task = asyncio.create_task(collect_when_few(lambda: many[0]))
+        await asyncio.sleep(AT_LAST - 1)
+        assert 2 not in passes
+        await asyncio.sleep(LOOK_EVERY)
+        assert passes.count(2) == 1  # at last, whatever waits
+        many[0] = 0
+        await asyncio.sleep(LOOK_EVERY)
+        assert passes.count(2) == 2
+        task.cancel()
+
+    enabled = gc.isenabled()
+    gc.disable()  # only what is asked for
+    try:
+        play(scene, most=2 * AT_LAST)
+    finally:
+        gc.callbacks.pop()
+        if enabled:
+            gc.enable()
