--- a/tests/player.py
+++ b/tests/player.py
@@ -14,6 +14,8 @@
     PEER disperse                     close them
     within S                          no more than S seconds have passed since a client connected first
     nofile N                          leave the program so many descriptors
+    PEER ask METHOD PATH [HEADER: X] ... | BODY    send a whole request
+    PEER told CODE [HEADER: X] ... | BODY          receive an answer with these headers and this body
     PEER status CODE                  receive an answer of that status, and a close with it if it is an error
     PEER chunk TEXT                   send a chunk of a body (no text: the last one)
     PEER many N REQ 7 a|#             N Gearman packets at once, # stands for the number of each
@@ -178,6 +180,12 @@
     return struct.pack(">4sII", b"\0" + magic.encode(), int(type_), len(packed)) + packed
 
 
+def _parts(text: str) -> tuple[str, list[str], str]:
+    """What stands before the headers, the headers in brackets, and the body after the bar."""
+    first, _, body = text.partition(" | ")
+    return first.partition(" [")[0], re.findall(r"\[([^\]]*)\]", first), body
+
+
 class Player:
     """Plays one file."""
 
@@ -325,6 +333,18 @@
             peer.connection.sendall(b"".join(packets))
         elif what == "disperse":
             peer.disperse()
+        elif what == "ask":
+            assert peer.connection
+            line, headers, body = _parts(text)
+            head = "".join(f"{h}\r\n" for h in [f"{line} HTTP/1.1", "Host: api", *headers])
+            peer.connection.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode())
+        elif what == "told":
+            status, headers, body = _parts(text)
+            head, _, got = peer.http().partition("\n\n")
+            assert head.startswith(f"HTTP/1.1 {status} "), head + got
+            for header in headers:
+                assert header in head.splitlines(), f"no {header!r} in {head!r}"
+            self._compare(body, got.rstrip("\n"))
         elif what == "status":
             got = peer.http()
             assert re.match(rf"HTTP/1\.[01] {text} ", got), got
@@ -387,7 +407,7 @@
             name = part[1:-1]
             if part == "*":
                 pattern += ".*"
-            elif part.startswith("{") and part.endswith("}") and name:
+            elif re.fullmatch(r"\{\w+\}", part):
                 if name in self.kept:
                     pattern += re.escape(self.kept[name])
                 else:
--- a/tests/test_descriptions.py
+++ b/tests/test_descriptions.py
@@ -115,15 +115,13 @@
     seen = set()
     for path in (ROOT / "tests/exchanges").glob("http_waiting*.txt"):
         text = path.read_text()
-        found = re.findall(r"^HTTP/1\.1 (\d+) [^\n]*\n(?:[^\n]+\n)*\n(\{[^\n]*\})$", text, re.M)
-        for status, body in found:
-            body = body.replace('"text":"*"', '"text":"x"')
-            name = "Error" if '"error"' in body else "Page" if '"next"' in body else "JobView"
-            jsonschema.validate(json.loads(body), waiting_schema(name))
+        for status, body in re.findall(r"^c\d told (\d+)[^|\n]*(?:\| (\{.*\}))?$", text, re.M):
             seen.add(status)
+            name = "Error" if '"error"' in body else "Page" if '"next"' in body else "JobView"
+            if body:
+                jsonschema.validate(json.loads(body), waiting_schema(name))
         seen |= set(re.findall(r"^c\d status (\d+)$", text, re.M))
-        form = r'^POST /jobs HTTP/1\.1\n(?:[^\n]+\n)*\n(\{"(?:id|jobs)":[^\n]*)$'
-        for body in re.findall(form, text, re.M):
+        for body in re.findall(r'^c\d ask POST /jobs(?: \[.*\])? \| (\{"(?:id|jobs)":.*)$', text, re.M):
             if body != '{"jobs":[]}':
                 jsonschema.validate(json.loads(body), waiting_schema("Batch" if "jobs" in body else "Job"))
     assert seen - {"405"} <= statuses and {"200", "202", "404", "409", "413", "422", "429"} <= seen
