--- /dev/null
+++ b/benchmarks/durable_recovery.py
@@ -0,0 +1,104 @@
+"""How soon a scheduler serves again with so many jobs in its store, and what memory that takes.
+
+    python -m benchmarks.durable_recovery [--sizes 0,10000,1000000]
+
+The store is filled beforehand. Timed from the start of the process: until /up says yes, until a job that was
+handed in after that is served, and until all jobs that fit in memory (max_jobs) are read back.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import re
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+
+from oxbowyard.store.record import Taken
+from oxbowyard.store.sqlite import Database
+
+from .standin import Fleet
+from .started import Daemon, daemon
+
+OPERATOR = """
+[waiting]
+max_jobs = 10000
+max_jobs_per_class = 10000
+max_patience_s = 86400.0
+[durable]
+path = "{path}"
+"""
+
+
+def fill(path: Path, size: int) -> None:
+    """So many jobs, due in an hour."""
+    database = Database(path)
+    now = time.time()
+    for start in range(0, size, 5_000):
+        database.apply([
+            Taken(n + 1, f"old.{n:x}", "preview", "", "", b"", now, 80_000.0, 3_600.0, False, None, b"[]",
+                  b'{"target":"/preview","key":null,"slots":1,"extras":{}}', b"x" * 200)
+            for n in range(start, min(start + 5_000, size))
+        ])  # fmt: skip
+    database.close()
+
+
+def memory_mb(started: Daemon) -> float:
+    """What the process has in memory."""
+    status = Path(f"/proc/{started.process.pid}/status").read_text()
+    found = re.search(r"VmRSS:\s+(\d+)", status)
+    return int(found[1]) / 1024 if found else 0.0
+
+
+async def measure(size: int) -> None:
+    """One size."""
+    fleet = Fleet(2, 4, {"preview": 0.01})
+    discovery = await fleet.start()
+    with tempfile.TemporaryDirectory(dir=".") as folder:
+        path = Path(folder) / "jobs.db"
+        await asyncio.to_thread(fill, path, size)
+        begun = time.perf_counter()
+        with daemon(OPERATOR.format(path=path), discovery) as started:
+            host, port = await asyncio.to_thread(started.address, "http")
+            async with aiohttp.ClientSession(f"http://{host}:{port}") as session:
+                await _until_up(session)
+                up = time.perf_counter() - begun
+                headers = {"Req-Id": "now", "Req-Kind": "preview", "Req-Deadline": "9000m"}
+                async with session.post("/preview", data=b"x", headers=headers) as response:
+                    assert response.status == 200, await response.text()
+                served = time.perf_counter() - begun
+                wanted = min(size, 10_000)
+                while wanted and len(await _page(session, wanted - 1)) < 1:
+                    await asyncio.sleep(0.02)
+                back = time.perf_counter() - begun
+            print(f"{size:9,} jobs: up after {up:.2f} s, one served after {served:.2f} s, "
+                  f"{wanted:,} read back after {back:.2f} s, {memory_mb(started):.0f} MB", flush=True)  # fmt: skip
+    fleet.close()
+
+
+async def _until_up(session: aiohttp.ClientSession) -> None:
+    while True:
+        async with session.get("/up") as response:
+            if response.status == 200:
+                return
+        await asyncio.sleep(0.01)
+
+
+async def _page(session: aiohttp.ClientSession, after: int) -> list[object]:
+    async with session.get(f"/jobs?limit=1&after={after}") as response:
+        return list((await response.json())["jobs"])
+
+
+def main() -> None:
+    """A line a size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", default="0,10000,1000000")
+    for size in map(int, parser.parse_args().sizes.split(",")):
+        asyncio.run(measure(size))
+
+
+if __name__ == "__main__":
+    main()
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -181,10 +181,13 @@
             self._parts.gearman.wind_down()
         longest = max(c.deadline for c in self._config.settings.classes) / 1000
         await self._sessions.close(longest + 1.0)
-        await self._close()
+        await self._parts.close()
         log.info("last: %s", self._parts.summary())
         if self._parts.waiting:
             log.info("last: %s", self._parts.waiting.summary())
+        if self._kept:
+            log.info("last: %s", self._kept.summary())
+            await self._kept.close()
         self._enter(State.STOPPED)
 
     async def _close(self) -> None:
@@ -206,6 +209,8 @@
             log.info("%s", self._parts.summary())
             if self._parts.waiting:
                 log.info("%s", self._parts.waiting.summary())
+            if self._kept:
+                log.info("%s", self._kept.summary())
             gearman = self._parts.gearman
             for front, counts in (("http", self._sessions.counts), ("gearman", gearman and gearman.counts)):
                 if counts:
--- a/oxbowyard/durable/keeping.py
+++ b/oxbowyard/durable/keeping.py
@@ -31,7 +31,7 @@
         except StoreFault as fault:
             raise NotOpened(f"store: {fault}") from None
         self._writer = Writer(database, prune=self._prune)
-        self.ledger = DurableLedger(self._writer, f"{database.epoch}.")
+        self.ledger = DurableLedger(self._writer, f"{database.epoch}.", settings.lease_s)
 
     def _prune(self) -> tuple[float, int, int]:
         s = self._settings
--- a/oxbowyard/durable/ledger.py
+++ b/oxbowyard/durable/ledger.py
@@ -11,8 +11,10 @@
 from ..store.record import Ended, Kept, Lease, Moved, Stored, StoreFault, Taken
 from ..store.sqlite import Database
 from ..store.writer import Health, Writer
+from ..waiting.ledger import Leases as LeasesOf
 from ..waiting.ledger import Recalled
 from ..waiting.order import Changed, Code, End, Final, Job, Order, Parent, Rejected, State, When
+from .leases import Leases
 from .recovery import GRANTED, in_doubt
 
 T = TypeVar("T")
@@ -29,7 +31,10 @@
 
     keeps = True
 
-    def __init__(self, writer: Writer, run: str, wall: Callable[[], float] = time.time) -> None:
+    def __init__(
+        self, writer: Writer, run: str, lease_s: float | None = None, wall: Callable[[], float] = time.time
+    ) -> None:
+        self.leases: LeasesOf | None = Leases(lease_s * 1000) if lease_s is not None else None
         self._writer = writer
         self._wall = wall
         self.run = run
--- a/oxbowyard/durable/recover.py
+++ b/oxbowyard/durable/recover.py
@@ -17,6 +17,8 @@
 
 log = logging.getLogger("oxbowyard.durable")
 
+ROOM_AGAIN = 0.1  # seconds before it is looked again whether there is room for more jobs in memory
+
 Page = list[tuple[Stored, Place]]
 
 
@@ -48,6 +50,8 @@
             for stored, where in page:
                 self._put_back(stored, where)
             await asyncio.sleep(0)
+            while self._room.held.jobs >= self._room.settings.max_jobs:
+                await asyncio.sleep(ROOM_AGAIN)  # the rest stays on disk until some of these have ended
         self._room.recovering = False
         if self.back or self.doubts:
             log.info(
--- /dev/null
+++ b/oxbowyard/store/__main__.py
@@ -0,0 +1,42 @@
+"""Stores by hand: `python -m oxbowyard.store check FILE | snapshot FILE TARGET | restore SNAPSHOT FILE`."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from .record import StoreFault
+from .sqlite import check, restore, snapshot
+
+
+def main() -> int:
+    """Carry out one command; exit 1 with a line if the store is not as it should be."""
+    parser = argparse.ArgumentParser(prog="python -m oxbowyard.store", description=__doc__)
+    commands = parser.add_subparsers(dest="command", required=True)
+    commands.add_parser("check", help="look at every page").add_argument("file", type=Path)
+    for name, first, second, text in (
+        ("snapshot", "file", "target", "copy a store, also one in service"),
+        ("restore", "snapshot", "file", "put a snapshot in the place of a store that is not in service"),
+    ):
+        command = commands.add_parser(name, help=text)
+        command.add_argument(first, type=Path)
+        command.add_argument(second, type=Path)
+    options = parser.parse_args()
+    try:
+        match options.command:
+            case "check":
+                jobs = check(options.file)
+            case "snapshot":
+                jobs = snapshot(options.file, options.target)
+            case _:
+                jobs = restore(options.snapshot, options.file)
+    except StoreFault as fault:
+        print(f"store: {fault}", file=sys.stderr)
+        return 1
+    print(f"{options.command}: whole, {jobs} jobs")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/oxbowyard/store/sqlite.py
+++ b/oxbowyard/store/sqlite.py
@@ -242,22 +242,28 @@
         with _told():
             return {Kept(k): n for k, n in self._db.execute("SELECT kept, count(*) FROM jobs GROUP BY kept")}
 
-    # ---- Copies ----
 
-    def snapshot(self, target: Path) -> int:
-        """An online copy, checked; returns its jobs. It appears under its name only once it is whole."""
-        partial = target.with_name(target.name + ".partial")
-        partial.unlink(missing_ok=True)
-        with _told():
-            copy = sqlite3.connect(partial)
-            try:
-                self._db.backup(copy, pages=CHECKPOINT_PAGES)
-                copy.execute("PRAGMA journal_mode = DELETE")
-            finally:
-                copy.close()
-        jobs = check(partial)
-        os.replace(partial, target)
-        return jobs
+def snapshot(path: Path, target: Path) -> int:
+    """An online copy of a store, also of one in service, checked; returns its jobs. Raises StoreFault.
+
+    It appears under its name only once it is whole.
+    """
+    if not path.is_file():
+        raise StoreFault(Trouble.FOREIGN, f"no file {path.name}")
+    partial = target.with_name(target.name + ".partial")
+    partial.unlink(missing_ok=True)
+    with _told():
+        source, copy = connect(path), sqlite3.connect(partial)
+        try:
+            source.execute(f"PRAGMA busy_timeout = {WAIT_MS}")
+            source.backup(copy, pages=CHECKPOINT_PAGES)
+            copy.execute("PRAGMA journal_mode = DELETE")
+        finally:
+            copy.close()
+            source.close()
+    jobs = check(partial)
+    os.replace(partial, target)
+    return jobs
 
 
 def check(path: Path) -> int:
--- a/oxbowyard/waiting/ledger.py
+++ b/oxbowyard/waiting/ledger.py
@@ -9,12 +9,33 @@
 from .order import Changed, Final, Job, Order
 
 
+class Leases(Protocol):
+    """Decides when a silent worker is given up; times in ms."""
+
+    def begin(self, now: float, job: str) -> None:
+        """A worker has the job from now on."""
+
+    def heard(self, now: float, job: str) -> None:
+        """It gave a sign of life."""
+
+    def end(self, job: str) -> None:
+        """It has the job no more."""
+
+    def lapsed(self, now: float) -> list[str]:
+        """Jobs whose workers have been silent for too long."""
+
+    def next_due(self) -> float | None:
+        """When the next one lapses."""
+
+
 class Ledger(Protocol):
     """Keeps the changes of state, in order. Acknowledgements, grants and answers wait until it is safe."""
 
     keeps: bool  # what waits outlives the program: at its stop it is left as it is
     run: str  # tells this run of the program from earlier ones, in the ids of what it asks
 
+    leases: Leases | None  # which workers went silent with a job, if that is to be noticed
+
     def refusal(self) -> str:
         """Why it takes no more work; empty: it does."""
 
@@ -51,6 +72,7 @@
 
     keeps = False
     run = ""
+    leases: Leases | None = None
 
     def refusal(self) -> str:
         """It always takes work."""
--- a/oxbowyard/waiting/room.py
+++ b/oxbowyard/waiting/room.py
@@ -16,10 +16,10 @@
 
 from msgspec import structs
 
-from ..core.req import Answer, Kind, Ran, Req
+from ..core.req import Answer, Kind, Note, Ran, Req
 from ..core.scheduler import Scheduler
 from ..decision.interface import JobClass, Repeat
-from .ledger import Ledger, Memory, Recalled
+from .ledger import Leases, Ledger, Memory, Recalled
 from .order import (
     AGED,
     WAITS,
@@ -57,6 +57,7 @@
     task: asyncio.Task[Answer] | None = None  # none yet: its release waits for the ledger
     at: float = 0.0
     cut: Ran | None = None  # called off, when so much was known of its run
+    lapsed: bool = False  # because its worker was silent
 
 
 @dataclass(slots=True)
@@ -117,6 +118,7 @@
         self._watching = 0
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
+        self._lease_timer: asyncio.TimerHandle | None = None
         self._driving = False
         self._weighed_at = 0.0
         self._idle = asyncio.Event()
@@ -488,6 +490,7 @@
             lease=lease,
             grant=partial(self._grant, job, lease) if once else None,
             on_running=partial(self._running, job, req.on_running),
+            on_note=partial(self._noted, job, req.on_note),
         )
         asked.task = self._loop.create_task(self._scheduler.serve(req))
         asked.task.add_done_callback(partial(self._answered, job))
@@ -497,6 +500,7 @@
     def _grant(self, job: Job, lease: str, backend: str, then: Callable[[], None]) -> None:
         """A backend is about to have what must not run twice: that goes on record first."""
         self._leases[job.id] = lease
+        self._hold_lease(job)
         self._ledger.grant(job, backend, lease)
         self._ledger.when_safe(then)
 
@@ -506,12 +510,51 @@
         asked = self._asked.get(job.id)
         if running and asked is not None:
             now = self._clock()
+            if job.durable:
+                self._hold_lease(job)
             self._policy.began(now, job, now - asked.at)
             self._drive(now)
 
+    def _noted(self, job: Job, tell: Callable[[Note], None] | None, note: Note) -> None:
+        if (leases := self._ledger.leases) is not None:
+            leases.heard(self._clock(), job.id)
+        if tell is not None:
+            tell(note)
+
+    def _hold_lease(self, job: Job) -> None:
+        if (leases := self._ledger.leases) is not None:
+            leases.begin(self._clock(), job.id)
+            self._watch_leases(leases)
+
+    def _watch_leases(self, leases: Leases) -> None:
+        if self._lease_timer is None and (due := leases.next_due()) is not None:
+            wait = max(due - self._clock(), 0.0) / 1000
+            self._lease_timer = self._loop.call_later(wait, self._look_at_leases, leases)
+
+    def _look_at_leases(self, leases: Leases) -> None:
+        self._lease_timer = None
+        for id_ in leases.lapsed(self._clock()):
+            asked = self._asked.get(id_)
+            if asked is not None and asked.cut is None and asked.task is not None:
+                log.warning("job %s: nothing was heard of its worker, its lease is over", id_)
+                asked.cut, asked.lapsed = self._scheduler.ran(asked.id), True
+                asked.task.cancel()
+        self._watch_leases(leases)
+
+    def _lapsed(self, job: Job, ran: Ran, now: float) -> None:
+        """A silent worker was given up: what may not run twice is in doubt, all else is asked again."""
+        if ran is not Ran.NEVER and job.job_class in self._once:
+            self._policy.doubt(now, job, "its worker was silent for longer than its lease")
+        else:
+            self._policy.refused(now, job, 0.0, may_again=True)
+
     def _answered(self, job: Job, task: asyncio.Task[Answer]) -> None:
         asked, now = self._asked.pop(job.id), self._clock()
-        if task.cancelled():
+        if self._ledger.leases is not None:
+            self._ledger.leases.end(job.id)
+        if task.cancelled() and asked.lapsed:
+            self._lapsed(job, asked.cut or Ran.OPEN, now)
+        elif task.cancelled():
             ran = asked.cut if asked.cut is not None else Ran.OPEN
             self._policy.ended(now, job, End.CANCELLED, ran, "called off by its client")
         elif fault := task.exception():
--- a/tests/player.py
+++ b/tests/player.py
@@ -263,6 +263,9 @@
     def _operators_file(self, front: str, word: str) -> Path:
         text = (ROOT / f"deploy/{front}.toml").read_text().replace(":4730", ":0")
         for change in word.split(":")[1:]:
+            if change == "durable":
+                text += f'\n[durable]\npath = "{self.folder / "jobs.db"}"\nresolve_over_http = true\n'
+                continue
             name, _, value = change.partition("=")
             text, found = re.subn(rf"(?m)^{name} = \S+", f"{name} = {value}", text)
             assert found, f"no {name} in deploy/{front}.toml"
@@ -335,7 +338,7 @@
             peer.disperse()
         elif what == "ask":
             assert peer.connection
-            line, headers, body = _parts(text)
+            line, headers, body = _parts(self._filled(text))
             head = "".join(f"{h}\r\n" for h in [f"{line} HTTP/1.1", "Host: api", *headers])
             peer.connection.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode())
         elif what == "told":
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -10,9 +10,10 @@
 import pytest
 from test_waiting_room import Fetch, Stage, error, hangs, served
 
-from oxbowyard.core.req import Ending, FetchNotes, Ran, Req, granted
+from oxbowyard.core.req import Ending, FetchNotes, Note, NoteKind, Ran, Req, granted
 from oxbowyard.decision.facade import Result
 from oxbowyard.durable.keeping import Keeping, NotOpened
+from oxbowyard.durable.leases import Leases
 from oxbowyard.durable.recovery import place
 from oxbowyard.durable.settings import DurableSettings
 from oxbowyard.store.record import Ended, Kept, Lease, Stored, Taken
@@ -24,8 +25,8 @@
 class Kept_:
     """A scheduler on a store; several after each other are runs of one."""
 
-    def __init__(self, path: Path, fetch: Fetch, **more: Any) -> None:
-        self.keeping = Keeping(DurableSettings(str(path)), take_over=True)
+    def __init__(self, path: Path, fetch: Fetch, lease_s: float | None = None, **more: Any) -> None:
+        self.keeping = Keeping(DurableSettings(str(path), lease_s=lease_s), take_over=True)
         self.sent: list[str] = []  # jobs whose last byte was written
         self._fetch = fetch
         self.stage = Stage(self.fetch, ledger=self.keeping.ledger, **more)
@@ -191,6 +192,65 @@
     play(scene)
 
 
+def test_a_lease_that_lapses_frees_what_may_be_repeated_and_doubts_the_rest(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async def tells(backend: str, req: Req, notes: FetchNotes) -> Ending:
+            notes.written = True
+            notes.on_began()
+            if req.id == "talks":
+                for _ in range(8):
+                    await asyncio.sleep(0.1)
+                    notes.on_note(Note(NoteKind.STATUS, done=0.1))
+                return Ending(Result.OK)
+            if "~" in req.id:
+                return Ending(Result.OK)
+            await asyncio.sleep(60)
+            raise AssertionError
+
+        kept = Kept_(tmp_path / "jobs.db", tells, lease_s=0.3)
+        for id_, job_class in (("talks", "once"), ("silent", "once"), ("preview", "free")):
+            await kept.hand_in(id_, job_class)
+        await kept.until(lambda: kept.state("silent") is State.DOUBT)
+        await kept.until(lambda: kept.state("preview") is End.SERVED)
+        await kept.until(lambda: kept.state("talks") is End.SERVED)
+        assert [x.partition("~")[0] for x in kept.sent].count("silent") == 1
+        await kept.keeping.close()
+
+    play(scene)
+
+
+def test_leases_lapse_in_order_and_once() -> None:
+    leases = Leases(100.0)
+    for at, job in enumerate("abc"):
+        leases.begin(float(at), job)
+    leases.heard(50.0, "a")
+    leases.heard(50.0, "nobody")
+    assert leases.next_due() == 101.0 and leases.lapsed(101.5) == ["b"] and leases.lapsed(101.5) == []
+    leases.heard(101.6, "b")  # too late
+    leases.end("c")
+    assert leases.lapsed(1000.0) == ["a"] and leases.next_due() is None
+
+
+def test_a_full_memory_leaves_the_rest_on_disk(tmp_path: Path) -> None:
+    async def scene() -> None:
+        path = tmp_path / "jobs.db"
+        old = Kept_(path, served)
+        for i in range(40):
+            await old.hand_in(f"j{i}", delay=60.0 if i < 10 else 0.5)
+        new = Kept_(path, served, max_jobs=20)
+        new.recovery._at_once = 5
+        back = asyncio.create_task(new.recovery.run())
+        await new.until(lambda: new.room.held.jobs == 20)
+        await asyncio.sleep(0.05)
+        assert new.state("j30") is None and (await new.room.recall("j30")) is not None
+        await back  # as the first ones end, the rest comes
+        await new.until(lambda: all(new.state(f"j{i}") is End.SERVED for i in range(10, 40)))
+        await new.keeping.close()
+        await old.keeping.close()
+
+    play(scene)
+
+
 def test_a_workers_own_failure_is_an_end_and_no_doubt(tmp_path: Path) -> None:
     async def scene() -> None:
         kept = Kept_(tmp_path / "jobs.db", error)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,8 +14,9 @@
 
 import pytest
 
+from oxbowyard.store.__main__ import main as command
 from oxbowyard.store.record import Change, Ended, Kept, Lease, Moved, StoreFault, Taken, Trouble
-from oxbowyard.store.sqlite import Database, check, connect, restore
+from oxbowyard.store.sqlite import Database, check, connect, restore, snapshot
 from oxbowyard.store.writer import Health, Writer
 
 FAULTS = {
@@ -195,11 +196,13 @@
     db.close()
 
 
-def test_a_snapshot_is_checked_and_restored(tmp_path: Path) -> None:
+def test_a_snapshot_is_checked_and_restored(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
     path, copy = tmp_path / "jobs.db", tmp_path / "copy.db"
     db = Database(path)
     db.apply([taken(n) for n in range(1, 200)])
-    assert db.snapshot(copy) == 199
+    assert snapshot(path, copy) == 199  # while it is in service
     db.apply([ended(1)])
     with pytest.raises(StoreFault, match="another program"):
         restore(copy, path)
@@ -212,6 +215,10 @@
     with pytest.raises(StoreFault) as caught:
         restore(copy, path)
     assert caught.value.trouble is Trouble.DAMAGED and check(path) == 199
+    monkeypatch.setattr("sys.argv", ["store", "check", str(copy)])
+    assert command() == 1 and "damaged" in capsys.readouterr().err
+    monkeypatch.setattr("sys.argv", ["store", "snapshot", str(path), str(tmp_path / "other.db")])
+    assert command() == 0 and "whole, 199 jobs" in capsys.readouterr().out
 
 
 def test_the_size_that_the_settings_allow_is_a_full_store(tmp_path: Path) -> None:
