A store that breaks tells whoever waits, and the program can stop

Cause: with the store given up, hand-ins whose commit never came waited for ever, and a stopping program waited for jobs that no ledger would release. A client could also choose an id of the form that the scheduler gives, and a second one of these in the store would have broken it.

Change: WaitingRoom.safe raises once the ledger is lost; released jobs that wait for the ledger are left to the next run at a stop; such ids are refused; a cancel answers once it is on disk. Hand-ins with ids of this run ask the store nothing.

--- a/benchmarks/crash_points.py
+++ b/benchmarks/crash_points.py
@@ -79,6 +79,7 @@
 Database.apply = after_commit  # type: ignore[method-assign,assignment]
 before(DurableLedger, "grant", "before grant")
 before(Recovery, "_put_back", "recovering")
+before(DurableLedger, "record", "before record")
 
 def live(order: dict[str, Any]) -> None:
     """The child: becomes the scheduler that was ordered."""
--- a/benchmarks/durable_crash.py
+++ b/benchmarks/durable_crash.py
@@ -34,7 +34,9 @@
 from .standin import HEAD_END
 from .started import ROOT
 
-POINTS = ("taken", "before grant", "granted", "written", "started", "answered", "recovering", "")
+POINTS = (
+    "taken", "before grant", "before record", "granted", "written", "started", "answered", "recovering", "",
+)  # fmt: skip
 JOBS = 8  # of each front in a run
 KILLS = 3
 RUN_WITHIN = 60.0
--- a/oxbowyard/clients/waiting.py
+++ b/oxbowyard/clients/waiting.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 from collections.abc import Callable, Collection
 from contextlib import nullcontext
@@ -257,6 +256,8 @@
         path, query = read_target(target)
         if path[1:].split("/", 1)[0] != job_class or not TARGET_FORM.fullmatch(target):
             raise Fault(400, "the path is not one of the class")
+        if id_ is not None and self._room.is_own_id(id_):  # it may be another job's, long forgotten here
+            raise Rejected(Code.DUPLICATE_ID, "ids of this form are given by the scheduler")
         extras = read_extras(extra)
         return Req(
             id=read_id(id_) if id_ is not None else self._room.new_id(),
@@ -275,7 +276,7 @@
             views = [_view(known) for known in recalled]
         else:
             taken = self._room.hand_in(jobs)
-            await self._safe()
+            await self._room.safe()
             views = [self._view(job) for job in taken]
         if many:
             return _json(202, PageView(views, None))
@@ -283,11 +284,6 @@
         response.headers["Location"] = f"{WAITING_PATH}/{views[0].id}"
         return response
 
-    async def _safe(self) -> None:
-        safe: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._room.when_safe(lambda: None if safe.done() else safe.set_result(None))
-        await safe
-
     # ---- Asking ----
 
     def _view(self, job: Job) -> JobView:
@@ -339,7 +335,7 @@
         return await self._proven(id_, done)
 
     async def _proven(self, id_: str, done: bool) -> web.Response:
-        await self._safe()
+        await self._room.safe()
         known = await self._known(id_)
         return _json(200 if done else 409, _view(known))
 
@@ -356,6 +352,8 @@
     async def _cancel(self, id_: str) -> web.Response:
         job = self._room.cancel(id_)
         if job is not None:
+            if job.durable and job.end is not None:
+                await self._room.safe()
             return _json(200 if job.end is not None else 202, self._view(job))
         return _json(409, _view(await self._known(id_)))
 
--- a/oxbowyard/durable/keeping.py
+++ b/oxbowyard/durable/keeping.py
@@ -8,7 +8,7 @@
 
 from ..store.record import StoreFault
 from ..store.sqlite import Database
-from ..store.writer import Writer
+from ..store.writer import LOST, Health, Writer
 from ..waiting.room import WaitingRoom
 from .ledger import DurableLedger
 from .recover import Recovery
@@ -30,15 +30,21 @@
             self.last_number = database.last_number()
         except StoreFault as fault:
             raise NotOpened(f"store: {fault}") from None
-        self._writer = Writer(database, prune=self._prune)
+        self._room: WaitingRoom | None = None
+        self._writer = Writer(database, self._turned, self._prune)
         self.ledger = DurableLedger(self._writer, f"{database.epoch}.", settings.lease_s)
 
     def _prune(self) -> tuple[float, int, int]:
         s = self._settings
         return time.time() - s.keep_answers_s, s.max_answers, s.forget_at_once
 
+    def _turned(self, health: Health) -> None:
+        if health in LOST and self._room is not None:
+            self._room.ledger_lost(self.ledger.lost())
+
     def recovery(self, room: WaitingRoom, deadlines: Mapping[str, float]) -> Recovery:
         """The way back for the jobs of earlier runs; `deadlines` in seconds by class."""
+        self._room = room
         return Recovery(room, self._writer, deadlines, self._settings.read_at_once)
 
     def summary(self) -> str:
--- a/oxbowyard/durable/ledger.py
+++ b/oxbowyard/durable/ledger.py
@@ -10,7 +10,7 @@
 from ..core.req import Ran, Req
 from ..store.record import Ended, Kept, Lease, Moved, Stored, StoreFault, Taken
 from ..store.sqlite import Database
-from ..store.writer import Health, Writer
+from ..store.writer import LOST, Health, Writer
 from ..waiting.ledger import Leases as LeasesOf
 from ..waiting.ledger import Recalled
 from ..waiting.order import Changed, Code, End, Final, Job, Order, Parent, Rejected, State, When
@@ -44,6 +44,10 @@
         """Why it takes no more work; empty: it does."""
         return REFUSALS.get(self._writer.health, "")
 
+    def lost(self) -> str:
+        """Why nothing will be recorded any more; empty: it will."""
+        return REFUSALS[self._writer.health] if self._writer.health in LOST else ""
+
     # ---- To the store ----
 
     def take(self, job: Job, order: Order) -> None:
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -110,6 +110,7 @@
         self._keeping: set[asyncio.Task[None]] = set()
         if room is not None:
             room.adopters.append(self.adopt)
+            room.reserved.append(f"H:{name}:")
 
     def submit(self, type_: Type, arguments: list[bytes], waiter: Waiter) -> None:
         """Take a job, or join one with the same unique id, and tell the client its handle."""
@@ -166,9 +167,7 @@
                 handle = recalled[0].job.id
             else:
                 handle = self._queue(job, req, wait)
-                safe: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-                self._room.when_safe(lambda: None if safe.done() else safe.set_result(None))
-                await safe
+                await self._room.safe()
             waiter.send(encode(Type.JOB_CREATED, handle.encode()))
         except NotTaken as fault:
             self._forget(job)
--- a/oxbowyard/waiting/ledger.py
+++ b/oxbowyard/waiting/ledger.py
@@ -39,6 +39,9 @@
     def refusal(self) -> str:
         """Why it takes no more work; empty: it does."""
 
+    def lost(self) -> str:
+        """Why nothing will be recorded any more; empty: it will."""
+
     def take(self, job: Job, order: Order) -> None:
         """A job is taken, with all that is needed to go on with it."""
 
@@ -78,6 +81,10 @@
         """It always takes work."""
         return ""
 
+    def lost(self) -> str:
+        """There is nothing to lose."""
+        return ""
+
     def take(self, job: Job, order: Order) -> None:
         """The policy's own memory is all there is."""
 
--- a/oxbowyard/waiting/room.py
+++ b/oxbowyard/waiting/room.py
@@ -119,12 +119,14 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
         self._lease_timer: asyncio.TimerHandle | None = None
+        self._unsafe: set[asyncio.Future[None]] = set()  # who waits for the ledger
         self._driving = False
         self._weighed_at = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
         self._ids = f"{name}.{int(wall() * 1000):x}"  # ids of two runs must not be taken for each other
         self._number = 0
+        self.reserved = [self._ids + "."]  # beginnings of ids that clients must not choose
         self._stopping = False
         self.counts = Counts()
 
@@ -140,13 +142,17 @@
         self._number += 1
         return f"{self._ids}.{self._number:x}"
 
+    def is_own_id(self, id_: str) -> bool:
+        """Whether an id has the form that this run gives: a client must not choose one."""
+        return id_.startswith(tuple(self.reserved))
+
     def hand_in(
         self, jobs: Sequence[tuple[Req, Wait]], on_end: Callable[[Final], None] | None = None
     ) -> list[Job]:
         """Take all or none; raises Rejected. `on_end` is called once for each, not for repeated hand-ins.
 
         A req's id, class, target, payload, key and the like are its own; its patience is for running, its
-        class's deadline at most. Acknowledge by `when_safe`.
+        class's deadline at most. Acknowledge after `safe`.
         """
         orders = [self._order(req, wait) for req, wait in jobs]
         now = self._clock()
@@ -181,8 +187,9 @@
 
         Raises Rejected for an id that is there, or a key with another content. Call it before `hand_in`.
         """
-        if not self._ledger.keeps:
-            return None
+        own = self._ids + "."
+        if not self._ledger.keeps or not any(wait.token or not req.id.startswith(own) for req, wait in jobs):
+            return None  # ids of this run are new
         orders = [self._order(req, wait) for req, wait in jobs]
         found = await self._ledger.known(orders)
         recalled = []
@@ -205,9 +212,27 @@
             return Recalled(job, self._finals.get(id_))
         return await self._ledger.recall(id_)
 
-    def when_safe(self, then: Callable[[], None]) -> None:
-        """Call once what was handed in so far is as safe as this scheduler can keep it."""
-        self._ledger.when_safe(then)
+    async def safe(self) -> None:
+        """Wait until what was handed in so far is as safe as this scheduler can keep it.
+
+        Raises Rejected if the ledger is lost meanwhile: then nobody knows whether it is kept.
+        """
+        recorded: asyncio.Future[None] = self._loop.create_future()
+        self._unsafe.add(recorded)
+        self._ledger.when_safe(lambda: None if recorded.done() else recorded.set_result(None))
+        if why := self._ledger.lost():
+            self.ledger_lost(why)
+        try:
+            await recorded
+        finally:
+            self._unsafe.discard(recorded)
+
+    def ledger_lost(self, why: str) -> None:
+        """Nothing more will be recorded: whoever waits for that is told."""
+        fault = f"{why}; it is not known whether this is kept: ask, or hand it in again with its key"
+        for recorded in self._unsafe:
+            if not recorded.done():
+                recorded.set_exception(Rejected(Code.NOT_KEPT, fault, self.settings.full_retry_after_s))
 
     async def serve(self, req: Req, wait: Wait) -> Answer:
         """Hand in one job and wait for its answer; cancelled, it ends the job. Raises Rejected.
@@ -404,7 +429,10 @@
 
     def _is_idle(self) -> bool:
         """Nothing is owed any more but to jobs that a store keeps."""
-        return not self._policy.held.jobs or (self._ledger.keeps and self._stopping and not self._asked)
+        if not self._policy.held.jobs:
+            return True
+        at_work = any(asked.task is not None for asked in self._asked.values())
+        return self._ledger.keeps and self._stopping and not at_work
 
     def _carry_out(self, action: Changed | Release) -> None:
         try:
@@ -472,6 +500,10 @@
     def _ask(self, job: Job, job_class: str) -> None:
         asked, req = self._asked[job.id], job.cargo
         assert isinstance(req, Req)
+        if self._stopping and job.durable and asked.cut is None:  # the next run of the program asks it
+            del self._asked[job.id]
+            self._drive(self._clock())
+            return
         asked.at = self._clock()
         self.counts.released += 1
         self.counts.asked_again += job.asks > 1
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -16,7 +16,8 @@
 from oxbowyard.durable.leases import Leases
 from oxbowyard.durable.recovery import place
 from oxbowyard.durable.settings import DurableSettings
-from oxbowyard.store.record import Ended, Kept, Lease, Stored, Taken
+from oxbowyard.store.record import Ended, Kept, Lease, Stored, StoreFault, Taken, Trouble
+from oxbowyard.store.sqlite import Database
 from oxbowyard.waiting.order import Code, End, Parent, Rejected, State, Wait, When
 
 DEADLINES = {"free": 5.0, "once": 5.0}
@@ -42,9 +43,7 @@
     async def hand_in(self, id_: str, job_class: str = "once", **wait: Any) -> None:
         """As a front does: acknowledged once it is on disk."""
         self.stage.hand_in(id_, job_class, durable=True, **wait)
-        safe = asyncio.get_running_loop().create_future()
-        self.room.when_safe(lambda: safe.set_result(None))
-        await safe
+        await self.room.safe()
 
     async def until(self, condition: Callable[[], Any]) -> None:
         async with asyncio.timeout(10):
@@ -289,6 +288,34 @@
     play(scene)
 
 
+def test_a_store_that_breaks_tells_whoever_waits_and_lets_the_program_stop(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def damaged(self: Database, changes: Any) -> None:
+        raise StoreFault(Trouble.DAMAGED, "injected")
+
+    async def scene() -> None:
+        kept = Kept_(tmp_path / "jobs.db", hangs)
+        await kept.hand_in("before", delay=60.0)
+        monkeypatch.setattr(Database, "apply", damaged)
+        with pytest.raises(Rejected, match="broken; it is not known") as caught:
+            await kept.hand_in("a")
+        assert caught.value.code is Code.NOT_KEPT and caught.value.retry_after > 0
+        with pytest.raises(Rejected, match="the store is broken"):  # from now on at once
+            await kept.hand_in("b")
+        with pytest.raises(Rejected, match="not known"):
+            await kept.room.safe()
+        assert kept.sent == [] and kept.state("a") is State.ASKED  # never sent: its grant is nowhere
+        kept.stage.hand_in("plain", "free")  # what needs no store goes on
+        await kept.until(lambda: "plain" in kept.sent)
+        kept.room.cancel("plain")
+        kept.room.wind_down()
+        await kept.room.idle()
+        await kept.keeping.close()
+
+    play(scene)
+
+
 def test_a_class_that_is_gone_keeps_its_jobs_in_the_store(tmp_path: Path) -> None:
     async def scene() -> None:
         path = tmp_path / "jobs.db"
