The crash audit kills its workers too, each a process of its own

Change: workers are forked like schedulers, write each start to a file first and die by chance; the dead are replaced.

--- a/benchmarks/crash_points.py
+++ b/benchmarks/crash_points.py
@@ -14,6 +14,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import oxbowyard.__main__ as program
@@ -25,6 +26,8 @@
 from oxbowyard.store.sqlite import Database
 from oxbowyard.waiting.room import WaitingRoom
 
+from . import crash_worker
+
 AT, NTH, passed = "", 1, 0
 
 
@@ -82,8 +85,12 @@
 before(DurableLedger, "record", "before record")
 
 def live(order: dict[str, Any]) -> None:
-    """The child: becomes the scheduler that was ordered."""
+    """The child: becomes the scheduler, or the worker, that was ordered."""
     global AT, NTH
+    if "port" in order:
+        signal.signal(signal.SIGCHLD, signal.SIG_DFL)
+        crash_worker.main(Path(order["folder"]), order["port"], order["seed"])
+        os._exit(0)
     AT, NTH = order["at"], order["nth"]
     setattr(WaitingRoom, "_grant", written_at_once if order["broken"] else written)  # noqa: B010
     log = os.open(order["log"], os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
--- /dev/null
+++ b/benchmarks/crash_worker.py
@@ -0,0 +1,117 @@
+"""Workers for the crash audit, each a process of its own that now and then kills itself.
+
+Each start of a job is a line in a file, written before anything else is done, so that no kill can take it
+back. While the file `calm` is there nobody dies.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import re
+import signal
+from pathlib import Path
+
+from oxbowyard.gearman.packet import Decoder, Packet, Type, encode
+
+from .standin import HEAD_END
+
+BEFORE, WITHIN = 0.03, 0.08  # chances to die when a job has come, before it is begun, and while it runs
+FUNCTIONS = (b"file_specimen", b"render_preview")
+
+
+class Worker:
+    """What both kinds do with a job."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        self._folder = folder
+        self._dice = random.Random(seed)
+        self._starts = os.open(folder / "starts", os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+
+    def may_die(self, chance: float) -> None:
+        """SIGKILL, by chance."""
+        if self._dice.random() < chance and not (self._folder / "calm").exists():
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    async def work(self, payload: str) -> None:
+        """One job."""
+        self.may_die(BEFORE)
+        os.write(self._starts, payload.encode() + b"\n")
+        await asyncio.sleep(self._dice.uniform(0, 0.05))
+        self.may_die(WITHIN)
+
+    async def http(self, port: int) -> None:
+        """Listen for ever; another process may have the port for a moment, on its own end of a connection."""
+        while True:
+            try:
+                server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            await server.serve_forever()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head = (await reader.readuntil(HEAD_END)).decode("latin-1")
+            size = re.search(r"(?i)content-length: (\d+)", head)
+            payload = (await reader.readexactly(int(size[1]) if size else 0)).decode()
+            id_ = (re.search(r"(?i)req-id: (\S+)", head) or ["", ""])[1]
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n")
+            _line(writer, {"id": id_, "state": "started"})
+            await self.work(payload)
+            _line(writer, {"id": id_, "state": "done", "result": f"made {payload}"})
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def gearman(self) -> None:
+        """Work for whichever scheduler the file `gearman` names, for ever."""
+        while True:
+            try:
+                host, port = (self._folder / "gearman").read_text().split()
+                reader, writer = await asyncio.open_connection(host, int(port))
+            except (OSError, ValueError):
+                await asyncio.sleep(0.02)
+                continue
+            await self._stay(reader, writer)
+
+    async def _stay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        decoder = Decoder(1 << 20, magic=b"\0RES")
+        writer.write(b"".join(encode(Type.CAN_DO, name, magic=b"\0REQ") for name in FUNCTIONS))
+        writer.write(encode(Type.GRAB_JOB, magic=b"\0REQ"))
+        try:
+            while data := await reader.read(65536):
+                for packet in decoder.feed(data):
+                    assert isinstance(packet, Packet)
+                    await self._take(packet, writer)
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    async def _take(self, packet: Packet, writer: asyncio.StreamWriter) -> None:
+        if packet.type == Type.NO_JOB:
+            writer.write(encode(Type.PRE_SLEEP, magic=b"\0REQ"))
+        elif packet.type == Type.NOOP:
+            writer.write(encode(Type.GRAB_JOB, magic=b"\0REQ"))
+        elif packet.type == Type.JOB_ASSIGN:
+            handle, _, payload = packet.data.split(b"\0", 2)
+            await self.work(payload.decode())
+            writer.write(encode(Type.WORK_COMPLETE, handle, b"made " + payload, magic=b"\0REQ"))
+            writer.write(encode(Type.GRAB_JOB, magic=b"\0REQ"))
+
+
+def _line(writer: asyncio.StreamWriter, event: dict[str, str]) -> None:
+    data = json.dumps(event).encode() + b"\n"
+    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+def main(folder: Path, port: int, seed: int) -> None:
+    """One worker's life; port 0: a Gearman worker."""
+    worker = Worker(folder, seed)
+    asyncio.run(worker.http(port) if port else worker.gearman())
--- a/benchmarks/durable_crash.py
+++ b/benchmarks/durable_crash.py
@@ -3,8 +3,8 @@
     python -m benchmarks.durable_crash [--runs 100] [--seed 1] [--broken] [--parallel 4]
 
 A run is one store: jobs are handed in over HTTP and as Gearman background jobs, the scheduler is killed with
-SIGKILL a few times, at random or at a named point, workers drop connections, and in the end all is left
-alone until nothing is open. The workers write down each start of a job, outside of all that is killed.
+SIGKILL a few times, at random or at a named point, and so are the workers, each a process; in the end all is
+left alone until nothing is open. Each start of a job is a line in a file that its worker wrote first.
 `--broken` has the grant's commit come after the send: the audit must then find a double run.
 """
 
@@ -17,11 +17,13 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Mapping
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -29,7 +31,7 @@
 
 import aiohttp
 
-from oxbowyard.gearman.packet import Decoder, Packet, Type, encode
+from oxbowyard.gearman.packet import Type, encode
 
 from .standin import HEAD_END
 from .started import ROOT
@@ -75,111 +77,6 @@
     faults: list[str] = field(default_factory=list)
 
 
-class Workers:
-    """HTTP workers with their list, and Gearman workers; some drop connections before, in or after a job."""
-
-    def __init__(self, audit: Audit, dice: random.Random) -> None:
-        self._audit = audit
-        self._dice = dice
-        self.calm = False
-        self._servers: list[asyncio.Server] = []
-        self._ports: list[int] = []
-
-    async def start(self) -> str:
-        """Listen; returns discovery's address."""
-        for _ in range(3):
-            self._ports.append(await self._listen(self._work))
-        return f"127.0.0.1:{await self._listen(self._discover)}"
-
-    async def _listen(self, handler: object) -> int:
-        server = await asyncio.start_server(handler, "127.0.0.1", 0)  # type: ignore[arg-type]
-        self._servers.append(server)
-        return int(server.sockets[0].getsockname()[1])
-
-    async def _discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        entry = {"az": "a", "model": "m", "state": "ready", "boot_ms": 0}
-        targets = [{"uid": f"w{i}", "endpoint": f"127.0.0.1:{p}", **entry} for i, p in enumerate(self._ports)]
-        try:
-            while head := await reader.readuntil(HEAD_END):
-                whole = b"after=" not in head
-                if not whole:
-                    await asyncio.sleep(20)
-                body = json.dumps({"rev": 1, "all": whole, "targets": targets if whole else []}).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
-            writer.close()
-
-    async def _work(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            head = (await reader.readuntil(HEAD_END)).decode("latin-1")
-            size = re.search(r"(?i)content-length: (\d+)", head)
-            payload = (await reader.readexactly(int(size[1]) if size else 0)).decode()
-            id_ = (re.search(r"(?i)req-id: (\S+)", head) or ["", ""])[1]
-            if self._trouble(0.05):
-                return
-            self._audit.starts[payload] += 1  # its last byte is here: it runs, whatever comes now
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n")
-            _line(writer, {"id": id_, "state": "started"})
-            await asyncio.sleep(self._dice.uniform(0, 0.05))
-            if self._trouble(0.1):
-                return
-            _line(writer, {"id": id_, "state": "done", "result": f"made {payload}"})
-            writer.write(b"0\r\n\r\n")
-            await writer.drain()
-        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-    def _trouble(self, chance: float) -> bool:
-        return not self.calm and self._dice.random() < chance
-
-    async def gearman(self, where: asyncio.Future[tuple[str, int]]) -> None:
-        """One Gearman worker on one scheduler, until that is gone."""
-        try:
-            reader, writer = await asyncio.open_connection(*await where)
-        except OSError:
-            return
-        decoder = Decoder(1 << 20, magic=b"\0RES")
-        for name in (b"file_specimen", b"render_preview"):
-            writer.write(encode(Type.CAN_DO, name, magic=b"\0REQ"))
-        writer.write(encode(Type.GRAB_JOB, magic=b"\0REQ"))
-        try:
-            while data := await reader.read(65536):
-                for packet in decoder.feed(data):
-                    assert isinstance(packet, Packet)
-                    await self._gearman_packet(packet, writer)
-        except OSError:
-            pass
-        finally:
-            writer.close()
-
-    async def _gearman_packet(self, packet: Packet, writer: asyncio.StreamWriter) -> None:
-        if packet.type == Type.NO_JOB:
-            writer.write(encode(Type.PRE_SLEEP, magic=b"\0REQ"))
-        elif packet.type == Type.NOOP:
-            writer.write(encode(Type.GRAB_JOB, magic=b"\0REQ"))
-        elif packet.type == Type.JOB_ASSIGN:
-            handle, _, payload = packet.data.split(b"\0", 2)
-            self._audit.starts[payload.decode()] += 1
-            await asyncio.sleep(self._dice.uniform(0, 0.05))
-            if self._trouble(0.1):
-                writer.transport.abort()
-                return
-            writer.write(encode(Type.WORK_COMPLETE, handle, b"made " + payload, magic=b"\0REQ"))
-            writer.write(encode(Type.GRAB_JOB, magic=b"\0REQ"))
-
-    def close(self) -> None:
-        """Listen no more."""
-        for server in self._servers:
-            server.close()
-
-
-def _line(writer: asyncio.StreamWriter, event: dict[str, str]) -> None:
-    data = json.dumps(event).encode() + b"\n"
-    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-
-
 class Nursery:
     """The process that forks schedulers."""
 
@@ -189,7 +86,7 @@
             cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
         )  # fmt: skip
 
-    def start(self, order: dict[str, object]) -> int:
+    def start(self, order: Mapping[str, object]) -> int:
         """Start one; returns its number."""
         assert self._process.stdin and self._process.stdout
         self._process.stdin.write(json.dumps(order) + "\n")
@@ -204,6 +101,79 @@
         self._process.wait(10)
 
 
+def alive(pid: int) -> bool:
+    """Whether a process has not died; the nursery leaves nobody as a zombie."""
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def kill(pid: int) -> None:
+    """SIGKILL, and wait until it is gone."""
+    while alive(pid):
+        with suppress(ProcessLookupError):  # it died meanwhile
+            os.kill(pid, signal.SIGKILL)
+        time.sleep(0.001)
+
+
+class Workers:
+    """Three HTTP workers with their list and two Gearman workers; whoever dies is replaced a moment later."""
+
+    def __init__(self, nursery: Nursery, folder: Path, dice: random.Random) -> None:
+        self._nursery = nursery
+        self._folder = folder
+        self._dice = dice
+        self._alive: dict[int, int] = {}  # port of each process; 0: a Gearman worker
+        self._list: asyncio.Server | None = None
+        self._ports: list[int] = []
+        self.deaths = 0
+
+    async def start(self) -> str:
+        """Begin; returns discovery's address."""
+        holders = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+        self._ports = [holder.getsockname()[1] for holder in holders]
+        for holder in holders:
+            holder.close()
+        self._list = await asyncio.start_server(self._discover, "127.0.0.1", 0)
+        for port in (*self._ports, 0, 0):
+            self._spawn(port)
+        return f"127.0.0.1:{self._list.sockets[0].getsockname()[1]}"
+
+    def _spawn(self, port: int) -> None:
+        order = {"folder": str(self._folder), "port": port, "seed": self._dice.getrandbits(32)}
+        self._alive[self._nursery.start(order)] = port
+
+    async def replace(self) -> None:
+        """Look after them, for ever."""
+        while True:
+            await asyncio.sleep(self._dice.uniform(0.01, 0.1))
+            for pid in [pid for pid in self._alive if not alive(pid)]:
+                self.deaths += 1
+                self._spawn(self._alive.pop(pid))
+
+    async def _discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        entry = {"az": "a", "model": "m", "state": "ready", "boot_ms": 0}
+        targets = [{"uid": f"w{i}", "endpoint": f"127.0.0.1:{p}", **entry} for i, p in enumerate(self._ports)]
+        try:
+            while head := await reader.readuntil(HEAD_END):
+                whole = b"after=" not in head
+                if not whole:
+                    await asyncio.sleep(20)
+                body = json.dumps({"rev": 1, "all": whole, "targets": targets if whole else []}).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            writer.close()
+
+    def close(self) -> None:
+        """End all."""
+        if self._list is not None:
+            self._list.close()
+        for pid in self._alive:
+            kill(pid)
+
+
 class Scheduler:
     """One life of the scheduler under test."""
 
@@ -224,11 +194,7 @@
     @property
     def lives(self) -> bool:
         """It has not died."""
-        try:
-            os.kill(self._pid, 0)
-        except ProcessLookupError:
-            return False
-        return True
+        return alive(self._pid)
 
     async def address(self, front: str) -> tuple[str, int]:
         """Where a front listens; raises OSError if it died before."""
@@ -240,10 +206,7 @@
 
     def kill(self) -> None:
         """SIGKILL, if it has not come to it by itself."""
-        while self.lives:
-            with suppress(ProcessLookupError):  # it died meanwhile
-                os.kill(self._pid, signal.SIGKILL)
-            time.sleep(0.001)
+        kill(self._pid)
 
     def log(self) -> str:
         """What it said."""
@@ -317,8 +280,9 @@
 ) -> tuple[Audit, dict[str, str], list[str]]:
     """One run; returns the audit, each job's answer, and the points at which it was killed."""
     dice, audit = random.Random(seed), Audit()
-    workers = Workers(audit, dice)
+    workers = Workers(nursery, folder, dice)
     discovery = await workers.start()
+    replacing = asyncio.create_task(workers.replace())
     names = [f"{c}-{f}{i}" for i in range(JOBS // 2) for c in ("accession", "preview") for f in "hg"]
     dice.shuffle(names)
     seen: dict[str, str] = {}
@@ -328,16 +292,16 @@
             last = life == KILLS
             point = "" if last else dice.choice(POINTS)
             points.append(point or ("end" if last else "random"))
+            if last:
+                (folder / "calm").touch()
             started = Scheduler(nursery, folder, discovery, point, dice.randint(1, 8), broken)
-            workers.calm = last
-            where: asyncio.Future[tuple[str, int]] = asyncio.ensure_future(started.address("gearman"))
-            helpers = [asyncio.create_task(workers.gearman(where)) for _ in range(2)]
             left = [name for name in names if name not in audit.handed_in]
             clients = asyncio.create_task(hand_in(started, audit, left))
+            telling = asyncio.create_task(tell_gearman(started, folder))
             try:
                 if last:
                     await clients
-                    await settle(started, helpers, workers, where, audit, seen)
+                    await settle(started, audit, seen)
                     if not started.lives:
                         audit.faults.append("it died by itself")
                 else:
@@ -348,27 +312,27 @@
                 started.kill()
                 if "decision fault" in started.log() or "Traceback" in started.log():
                     audit.faults.append("a fault of ours: " + started.log()[-1500:])
-                await asyncio.gather(clients, *helpers, return_exceptions=True)
+                await asyncio.gather(clients, telling, return_exceptions=True)
     finally:
+        replacing.cancel()
         workers.close()
+    points += ["worker"] * workers.deaths
+    audit.starts.update((folder / "starts").read_text().split())
     judge(names, audit, seen)
     return audit, seen, points
 
 
-async def settle(
-    started: Scheduler,
-    helpers: list[asyncio.Task[None]],
-    workers: Workers,
-    where: asyncio.Future[tuple[str, int]],
-    audit: Audit,
-    seen: dict[str, str],
-) -> None:
-    """Until nothing is open but what is in doubt; Gearman workers that were dropped come back."""
+async def tell_gearman(started: Scheduler, folder: Path) -> None:
+    """The Gearman workers find each scheduler by a file."""
+    with suppress(OSError):
+        host, port = await started.address("gearman")
+        (folder / "gearman").write_text(f"{host} {port}")
+
+
+async def settle(started: Scheduler, audit: Audit, seen: dict[str, str]) -> None:
+    """Until nothing is open but what is in doubt."""
     end = time.monotonic() + RUN_WITHIN
-    while time.monotonic() < end:
-        for i, helper in enumerate(helpers):
-            if helper.done():
-                helpers[i] = asyncio.create_task(workers.gearman(where))
+    while time.monotonic() < end and started.lives:
         if not await look(started):  # and once more by name: some may not have been read back yet
             await answers(started, audit, seen)
             if len(seen) == len(audit.handed_in) or audit.faults:
