--- a/benchmarks/durable_crash.py
+++ b/benchmarks/durable_crash.py
@@ -17,7 +17,6 @@
 import random
 import re
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -33,7 +32,7 @@
 
 from oxbowyard.gearman.packet import Type, encode
 
-from .standin import HEAD_END
+from .standin import discover
 from .started import ROOT
 
 POINTS = (
@@ -42,6 +41,7 @@
 JOBS = 8  # of each front in a run
 KILLS = 3
 RUN_WITHIN = 60.0
+FIRST_PORT, PORTS, SLOTS = 10_000, 5, 4_400  # below those that the system gives out: no run meets another's
 AT_ONCE = 10  # runs in one batch of a process
 OPERATOR = """
 [waiting]
@@ -55,7 +55,7 @@
 path = "{path}"
 read_at_once = 5
 [gearman]
-listen = "127.0.0.1:0"
+listen = "127.0.0.1:{port}"
 [gearman.functions.file_specimen]
 class = "accession"
 deadline_ms = 2000
@@ -121,21 +121,17 @@
 class Workers:
     """Three HTTP workers with their list and two Gearman workers; whoever dies is replaced a moment later."""
 
-    def __init__(self, nursery: Nursery, folder: Path, dice: random.Random) -> None:
+    def __init__(self, nursery: Nursery, folder: Path, dice: random.Random, port: int) -> None:
         self._nursery = nursery
         self._folder = folder
         self._dice = dice
         self._alive: dict[int, int] = {}  # port of each process; 0: a Gearman worker
         self._list: asyncio.Server | None = None
-        self._ports: list[int] = []
+        self._ports = [port, port + 1, port + 2]
         self.deaths = 0
 
     async def start(self) -> str:
         """Begin; returns discovery's address."""
-        holders = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
-        self._ports = [holder.getsockname()[1] for holder in holders]
-        for holder in holders:
-            holder.close()
         self._list = await asyncio.start_server(self._discover, "127.0.0.1", 0)
         for port in (*self._ports, 0, 0):
             self._spawn(port)
@@ -154,17 +150,7 @@
                 self._spawn(self._alive.pop(pid))
 
     async def _discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        entry = {"az": "a", "model": "m", "state": "ready", "boot_ms": 0}
-        targets = [{"uid": f"w{i}", "endpoint": f"127.0.0.1:{p}", **entry} for i, p in enumerate(self._ports)]
-        try:
-            while head := await reader.readuntil(HEAD_END):
-                whole = b"after=" not in head
-                if not whole:
-                    await asyncio.sleep(20)
-                body = json.dumps({"rev": 1, "all": whole, "targets": targets if whole else []}).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
-            writer.close()
+        await discover(reader, writer, self._ports)
 
     def close(self) -> None:
         """End all."""
@@ -178,12 +164,12 @@
     """One life of the scheduler under test."""
 
     def __init__(
-        self, nursery: Nursery, folder: Path, discovery: str, point: str, nth: int, broken: bool
+        self, nursery: Nursery, folder: Path, discovery: str, port: int, point: str, nth: int, broken: bool
     ) -> None:
         config = json.loads((ROOT / "examples/config.json").read_text())
-        config |= {"listen": "127.0.0.1:0", "discovery": discovery}
+        config |= {"listen": f"127.0.0.1:{port}", "discovery": discovery}
         (folder / "config.json").write_text(json.dumps(config))
-        (folder / "operator.toml").write_text(OPERATOR.format(path=folder / "jobs.db"))
+        (folder / "operator.toml").write_text(OPERATOR.format(path=folder / "jobs.db", port=port + 1))
         self._log = folder / f"log-{time.monotonic_ns()}"
         self._log.touch()
         self._pid = nursery.start({
@@ -280,10 +266,11 @@
 ) -> tuple[Audit, dict[str, str], list[str]]:
     """One run; returns the audit, each job's answer, and the points at which it was killed."""
     dice, audit = random.Random(seed), Audit()
-    workers = Workers(nursery, folder, dice)
+    port = FIRST_PORT + seed % SLOTS * PORTS
+    workers = Workers(nursery, folder, dice, port)
     discovery = await workers.start()
     replacing = asyncio.create_task(workers.replace())
-    names = [f"{c}-{f}{i}" for i in range(JOBS // 2) for c in ("accession", "preview") for f in "hg"]
+    names = [f"{c}-{f}{i}-{seed}" for i in range(JOBS // 2) for c in ("accession", "preview") for f in "hg"]
     dice.shuffle(names)
     seen: dict[str, str] = {}
     points = []
@@ -294,7 +281,7 @@
             points.append(point or ("end" if last else "random"))
             if last:
                 (folder / "calm").touch()
-            started = Scheduler(nursery, folder, discovery, point, dice.randint(1, 8), broken)
+            started = Scheduler(nursery, folder, discovery, port + 3, point, dice.randint(1, 8), broken)
             left = [name for name in names if name not in audit.handed_in]
             clients = asyncio.create_task(hand_in(started, audit, left))
             telling = asyncio.create_task(tell_gearman(started, folder))
@@ -392,8 +379,10 @@
         batches = [pool.submit(play_some, min(AT_ONCE, seed + runs - s), s, broken) for s in starts]
         for done, batch in enumerate(as_completed(batches), 1):
             more = batch.result()
-            jobs, ends, points, faults = jobs + more[0], ends + more[1], points + more[2], faults + more[3]
-            print(f"{min(done * AT_ONCE, runs)} runs, {jobs} jobs, {len(faults)} faults", flush=True)
+            jobs, ends, points = jobs + more[0], ends + more[1], points + more[2]
+            faults += more[3]
+            said = f"{min(done * AT_ONCE, runs)} runs, {jobs} jobs, {len(faults)} faults"
+            print(said, *more[3], flush=True)
     return jobs, ends, points, faults
 
 
--- a/benchmarks/standin.py
+++ b/benchmarks/standin.py
@@ -20,6 +20,21 @@
     ended: float
 
 
+async def discover(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ports: list[int]) -> None:
+    """Discovery's side of a connection: workers on these ports, and nothing ever changes."""
+    entry = {"az": "a", "model": "m", "state": "ready", "boot_ms": 0}
+    targets = [{"uid": f"w{i}", "endpoint": f"127.0.0.1:{p}", **entry} for i, p in enumerate(ports)]
+    try:
+        while head := await reader.readuntil(HEAD_END):
+            whole = b"after=" not in head
+            if not whole:  # a watch
+                await asyncio.sleep(int((re.search(rb"wait_ms=(\d+)", head) or [b"", b"0"])[1]) / 1000)
+            body = json.dumps({"rev": 1, "all": whole, "targets": targets if whole else []}).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):  # the last one: we close
+        writer.close()
+
+
 @dataclass(slots=True)
 class Fleet:
     """Workers with slots, first come first served, and the list that names them."""
@@ -50,17 +65,7 @@
             server.close()
 
     async def _discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        entry = {"az": "a", "model": "m", "state": "ready", "boot_ms": 0}
-        targets = [{"uid": f"w{i}", "endpoint": f"127.0.0.1:{p}", **entry} for i, p in enumerate(self._ports)]
-        try:
-            while head := await reader.readuntil(HEAD_END):
-                whole = b"after=" not in head
-                if not whole:  # a watch, and nothing ever changes
-                    await asyncio.sleep(int((re.search(rb"wait_ms=(\d+)", head) or [b"", b"0"])[1]) / 1000)
-                body = json.dumps({"rev": 1, "all": whole, "targets": targets if whole else []}).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):  # the last one: we close
-            writer.close()
+        await discover(reader, writer, self._ports)
 
     async def _work(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, free: asyncio.Semaphore
--- a/oxbowyard/durable/keeping.py
+++ b/oxbowyard/durable/keeping.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
 from ..store.record import StoreFault
@@ -22,9 +22,12 @@
 class Keeping:
     """The store, its thread and the ledger on it. To be made on the loop that will use it."""
 
-    def __init__(self, settings: DurableSettings, take_over: bool = False) -> None:
+    def __init__(
+        self, settings: DurableSettings, take_over: bool = False, wall: Callable[[], float] = time.time
+    ) -> None:
         """Open the store; raises NotOpened with what is wrong with it."""
         self._settings = settings
+        self._wall = wall
         try:
             database = Database(Path(settings.path), settings.max_store_bytes, take_over)
             self.last_number = database.last_number()
@@ -32,11 +35,11 @@
             raise NotOpened(f"store: {fault}") from None
         self._room: WaitingRoom | None = None
         self._writer = Writer(database, self._turned, self._prune)
-        self.ledger = DurableLedger(self._writer, f"{database.epoch}.", settings.lease_s)
+        self.ledger = DurableLedger(self._writer, f"{database.epoch}.", settings.lease_s, wall)
 
     def _prune(self) -> tuple[float, int, int]:
         s = self._settings
-        return time.time() - s.keep_answers_s, s.max_answers, s.forget_at_once
+        return self._wall() - s.keep_answers_s, s.max_answers, s.forget_at_once
 
     def _turned(self, health: Health) -> None:
         if health in LOST and self._room is not None:
@@ -45,7 +48,7 @@
     def recovery(self, room: WaitingRoom, deadlines: Mapping[str, float]) -> Recovery:
         """The way back for the jobs of earlier runs; `deadlines` in seconds by class."""
         self._room = room
-        return Recovery(room, self._writer, deadlines, self._settings.read_at_once)
+        return Recovery(room, self._writer, deadlines, self._settings.read_at_once, self._wall)
 
     def summary(self) -> str:
         """The store's state and its commits so far, in a line."""
--- a/oxbowyard/waiting/room.py
+++ b/oxbowyard/waiting/room.py
@@ -108,6 +108,7 @@
         self._results: dict[str, tuple[bytes, float]] = {}  # of jobs that the core answered
         self._finals: dict[str, Final] = {}
         self._leases: dict[str, str] = {}  # of jobs that were granted, the last one of each
+        self._granted_to: dict[str, str] = {}
         self._said_by: dict[str, str] = {}  # who resolved a job that is about to end
         self._once = frozenset(c.name for c in classes if c.repeat is Repeat.SINGLE_SHOT or c.repeat is
                                Repeat.GUARDED and c.group != "all")  # fmt: skip
@@ -389,12 +390,16 @@
         now, self._stopping = self._clock(), True
         self._policy.stop(now, keep=self._ledger.keeps)
         if self._ledger.keeps:
-            for watchers in list(self._watchers.values()):
-                for ended in watchers:
-                    if not ended.done():
-                        ended.set_result(None)
+            for id_ in list(self._watchers):
+                self._tell_as_it_stands(id_)
         self._drive(now)
 
+    def _tell_as_it_stands(self, id_: str) -> None:
+        """Whoever waits for a job's end is told that there is none yet: it may be long in coming."""
+        for ended in self._watchers.get(id_, ()):
+            if not ended.done():
+                ended.set_result(None)
+
     async def idle(self) -> None:
         """Wait until every job has ended, but for those that the ledger keeps."""
         await self._idle.wait()
@@ -452,6 +457,8 @@
                     self._ledger.when_safe(partial(self._conclude, action.job, final))
                 else:
                     self._conclude(action.job, final)
+            elif action.state is State.DOUBT:
+                self._tell_as_it_stands(action.job.id)
             elif action.state is State.FORGOTTEN:
                 self._finals.pop(action.job.id, None)
         except Exception:  # one client's fault must not cost the others their ends
@@ -531,7 +538,7 @@
 
     def _grant(self, job: Job, lease: str, backend: str, then: Callable[[], None]) -> None:
         """A backend is about to have what must not run twice: that goes on record first."""
-        self._leases[job.id] = lease
+        self._leases[job.id], self._granted_to[job.id] = lease, backend
         self._hold_lease(job)
         self._ledger.grant(job, backend, lease)
         self._ledger.when_safe(then)
@@ -576,7 +583,7 @@
     def _lapsed(self, job: Job, ran: Ran, now: float) -> None:
         """A silent worker was given up: what may not run twice is in doubt, all else is asked again."""
         if ran is not Ran.NEVER and job.job_class in self._once:
-            self._policy.doubt(now, job, "its worker was silent for longer than its lease")
+            self._doubt(job, "its worker was silent for longer than its lease", now)
         else:
             self._policy.refused(now, job, 0.0, may_again=True)
 
@@ -606,8 +613,7 @@
             return
         once = job.durable and job.job_class in self._once
         if once and answer.ran is Ran.OPEN and answer.kind is Kind.FAILED:
-            log.warning("job %s (%s) is in doubt: %s; it may have run", job.id, job.job_class, answer.reason)
-            self._policy.doubt(now, job, answer.reason)
+            self._doubt(job, answer.reason, now)
             return
         self._results[job.id] = answer.body, answer.retry_after
         self._policy.ended(now, job, ENDS[answer.kind], answer.ran, answer.reason, len(answer.body))
@@ -619,11 +625,19 @@
             retry_after = self.settings.full_retry_after_s
         return Final(job.end, job.ran, body, job.reason, retry_after, self._said_by.pop(job.id, ""))
 
+    def _doubt(self, job: Job, why: str, now: float) -> None:
+        """Nobody knows how a job ended; the words are for a desk that has to find out."""
+        where = self._granted_to.get(job.id, "a worker")
+        reason = f"{why}; it was with {where}, and its end is not known: look whether it was done"
+        log.warning("job %s (%s) is in doubt: %s", job.id, job.job_class, reason)
+        self._policy.doubt(now, job, reason)
+
     def _conclude(self, job: Job, final: Final) -> None:
         """A job has its one end: tell whoever waits for it."""
         if job.state is not State.FORGOTTEN:
             self._finals[job.id] = final
         self._leases.pop(job.id, None)
+        self._granted_to.pop(job.id, None)
         self.counts.ended[final.end] += 1
         if final.end is not End.SERVED:
             log.debug("job %s (%s) ended %s: %s", job.id, job.job_class, final.end.value, job.reason)
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -27,7 +28,8 @@
     """A scheduler on a store; several after each other are runs of one."""
 
     def __init__(self, path: Path, fetch: Fetch, lease_s: float | None = None, **more: Any) -> None:
-        self.keeping = Keeping(DurableSettings(str(path), lease_s=lease_s), take_over=True)
+        self.stepped = 0.0  # by the system's clock
+        self.keeping = Keeping(DurableSettings(str(path), lease_s=lease_s), True, self.wall)
         self.sent: list[str] = []  # jobs whose last byte was written
         self._fetch = fetch
         self.stage = Stage(self.fetch, ledger=self.keeping.ledger, **more)
@@ -35,6 +37,9 @@
         self.room.number_from(self.keeping.last_number)
         self.recovery = self.keeping.recovery(self.room, DEADLINES)
 
+    def wall(self) -> float:
+        return time.time() + self.stepped
+
     async def fetch(self, backend: str, req: Req, notes: FetchNotes) -> Ending:
         await granted(req, backend)
         self.sent.append(req.id)
@@ -165,7 +170,8 @@
         kept._fetch = silent
         ids = ("late", "returned", "wrong", "word")
         for id_ in ids:
-            await kept.hand_in(id_)
+            await kept.hand_in(id_, delay=0.05 if id_ == "word" else 0.0)
+        assert await kept.room.wait("word", 20.0) is None  # a poll ends with the doubt, not with its time
         await kept.hand_in("child", after=(Parent("late"),))
         await kept.until(lambda: all(kept.state(id_) is State.DOUBT for id_ in ids))
         assert kept.state("child") is State.HELD
@@ -209,7 +215,13 @@
         kept = Kept_(tmp_path / "jobs.db", tells, lease_s=0.3)
         for id_, job_class in (("talks", "once"), ("silent", "once"), ("preview", "free")):
             await kept.hand_in(id_, job_class)
+        for hours in (-1.0, 24.0):  # the clock steps while the leases run
+            kept.stepped = hours * 3600
+            await asyncio.sleep(0.05)
+        assert kept.state("silent") is State.STARTED and kept.state("talks") is State.STARTED
         await kept.until(lambda: kept.state("silent") is State.DOUBT)
+        known = await kept.room.recall("silent")
+        assert known is not None and "it was with w" in known.job.reason
         await kept.until(lambda: kept.state("preview") is End.SERVED)
         await kept.until(lambda: kept.state("talks") is End.SERVED)
         assert [x.partition("~")[0] for x in kept.sent].count("silent") == 1
