A durable hand-in repeated with its id and key is stored once

Cause: a client that tried again with the same id and idempotency key while its job was in memory had the job put into the store a second time; the second insert failed and the store was given up. The crash audit lets the scheduler give the ids, so it never came there.

Change: only jobs that the hand-in itself took are recorded, told by their number.

Measured: the new test fails without it (the store breaks) and passes with it; 70 tests of the packages green.

--- a/oxbowyard/waiting/policy.py
+++ b/oxbowyard/waiting/policy.py
@@ -231,6 +231,11 @@
 
     # ---- Back from a store ----
 
+    @property
+    def last_number(self) -> int:
+        """Of the job that was taken last."""
+        return self._number
+
     def number_from(self, number: int) -> None:
         """Jobs that come have higher numbers than those that a store knows."""
         self._number = max(self._number, number)
--- a/oxbowyard/waiting/room.py
+++ b/oxbowyard/waiting/room.py
@@ -156,7 +156,7 @@
         class's deadline at most. Acknowledge after `safe`.
         """
         orders = [self._order(req, wait) for req, wait in jobs]
-        now = self._clock()
+        now, last = self._clock(), self._policy.last_number
         try:
             self._check_ledger(orders)
             taken = self._policy.hand_in(now, orders)
@@ -164,7 +164,7 @@
             self.counts.rejected += 1
             raise
         for job, order in zip(taken, orders, strict=True):
-            if job.durable and job.id == order.id:
+            if job.durable and job.number > last:  # one handed in before is in the ledger
                 self._ledger.take(job, order)
         if on_end is not None:
             self._on_end.update((j.id, on_end) for j in taken if j.end is None and j.id not in self._on_end)
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -328,6 +328,17 @@
     play(scene)
 
 
+def test_a_hand_in_repeated_with_its_id_and_key_is_stored_once(tmp_path: Path) -> None:
+    async def scene() -> None:
+        kept = Kept_(tmp_path / "jobs.db", served)
+        for _ in range(3):
+            await kept.hand_in("a", delay=60.0, token="k", print=b"p")
+        assert kept.keeping.ledger.refusal() == "" and kept.room.held.jobs == 1
+        await kept.keeping.close()
+
+    play(scene)
+
+
 def test_a_class_that_is_gone_keeps_its_jobs_in_the_store(tmp_path: Path) -> None:
     async def scene() -> None:
         path = tmp_path / "jobs.db"
