Calls to a discovery that serves all schedulers are spread, and a start need not wait for them

Restarts took 4.1 to 5.3 s, of which 2 s were LIST_WAIT for that silent discovery. Measured with a trace of each call: a watch's begin takes discovery 0.19 s, a whole list 0.375 s, in turn; calls fail at once or after 2.0 s of waiting; it works on those it turned down too. Six to eight calls a second from the fleet: none answered. Two a second: nearly all. A watch that has begun goes on at no cost. Ruled out: polling without a held watch (none answered), longer waits of 60 s (none), a pause that doubles from 0.2 to 4 s (4 of 40 heard). At fault: director/watch.py PAUSE = 0.1 after any failure, the whole list as the first call, 1.5 s given to a call that may wait 2 s; daemon/program.py, which waited for an answer with a list in hand. Now: where discovery is asked, calls are spread by chance over 0.25 s times the siblings, doubled twice at most; the watch goes on from the known list's version; /up says yes by that list. An agent on the machine is called as before. Zone and join run without a common discovery: the code there is as before.

--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, replace
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from ..backends.http import HttpBackends
@@ -15,6 +16,7 @@
 from ..core.scheduler import Limits, Scheduler
 from ..decision.facade import Facade
 from ..decision.interface import JobClass, Repeat, Settings
+from ..director.pace import CallPace
 from ..director.roster import Roster
 from ..director.watch import Director
 from ..gearman.config import KIND, GearmanConfig
@@ -88,10 +90,14 @@
         transport: BackendTransport = self.backends
         if workers:
             transport = RoutedTransport(self.backends, {KIND: workers})
-        facade = Facade(settings, config.seed, clock)
+        # The director asks for the list, whichever way it comes: the decisions need not.
+        facade = Facade(replace(settings, must_subscribe=False), config.seed, clock)
         limits = Limits(open_reqs=self.room.reqs)
         self.scheduler = Scheduler(settings, facade, transport, clock, self.measure, limits)
-        self.director = Director(config.discovery, self.roster, self.scheduler.learn, on_settled)
+        self.director = Director(
+            config.discovery, self.roster, self.scheduler.learn, on_settled,
+            CallPace(settings.must_subscribe, settings.siblings, Random(config.seed)),
+        )  # fmt: skip
         self.waiting: WaitingRoom | None = None
         if waiting is not None:
             self.waiting = _room(waiting, plain, self.scheduler, clock, config.name, self.room.reqs, kept)
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -130,8 +130,9 @@
         return gate
 
     async def _wait_for_list(self) -> None:
-        """Up once discovery has answered; when it is silent, the list kept from before has to do."""
-        heard = asyncio.ensure_future(self._parts.director.heard.wait())
+        """Up once discovery has answered; when it is silent, the list kept from before has to do. A discovery
+        that many schedulers wait for may be long about it: there the list from before does from the start."""
+        heard = asyncio.ensure_future(self._parts.director.ready.wait())
         stop = asyncio.ensure_future(self._told_to_stop.wait())
         try:
             await asyncio.wait({heard, stop}, timeout=LIST_WITHIN, return_when=asyncio.FIRST_COMPLETED)
--- /dev/null
+++ b/oxbowyard/director/pace.py
@@ -0,0 +1,48 @@
+"""When discovery is called, and called again after a failure. Without I/O or clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+AGENT_PAUSE = 0.1  # seconds; an agent on this machine answers at once and at no cost; a watch lapses in 0.2
+# A discovery that serves all schedulers has been seen to take 0.2 s over the begin of a watch, to turn calls
+# down once 2 s of them wait, and to work on those too that it has turned down: a few calls a second more than
+# it can serve, and it serves nobody. All schedulers together leave it a quarter of its time.
+SPACING = 0.25  # seconds that the calls of all schedulers lie apart on average
+DOUBLINGS = 2  # of the span, after as many failures: by then the calls take up a fifth of its time
+
+
+@dataclass(slots=True)
+class CallPace:
+    """Pauses before calls.
+
+    An agent on the scheduler's own machine is called again soon: nobody else waits for it. Calls to a
+    discovery that serves all schedulers are spread by chance over a time that grows with their number and
+    with each failure: what one scheduler may do at once, forty that were restarted together may not.
+    """
+
+    common: bool  # one service for all schedulers, not an agent
+    siblings: int
+    random: Random
+    failures: int = 0
+
+    def first(self) -> float:
+        """Seconds to wait before the first call, where a list is in hand from before."""
+        return self.random.uniform(0.0, self._span) if self.common else 0.0
+
+    def failed(self) -> float:
+        """Seconds to wait now that a call has failed."""
+        if not self.common:
+            return AGENT_PAUSE
+        self.failures += 1
+        return max(self.random.uniform(0.0, self._span), AGENT_PAUSE)
+
+    def answered(self) -> None:
+        """A call was answered: the next failure is a first one."""
+        self.failures = 0
+
+    @property
+    def _span(self) -> float:
+        """With every sibling calling once in it, the calls lie as far apart on average as they should."""
+        return SPACING * self.siblings * 2.0 ** min(self.failures, DOUBLINGS)
--- a/oxbowyard/director/watch.py
+++ b/oxbowyard/director/watch.py
@@ -5,29 +5,35 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from random import Random
 
 import aiohttp
 import orjson
 from yarl import URL
 
 from ..decision.facade import Scope, WorkerInfo
+from .pace import CallPace
 from .roster import BrokenList, Change, Roster, parse_list
 
 log = logging.getLogger("oxbowyard.director")
 
 WAIT_MS = 8000  # a call that was lost on the way is made again after this, not a minute later
 ANSWER_WITHIN = 1.5  # seconds past its wait that a call is given
-PAUSE = 0.1  # seconds before a failed call is made again; a watch lapses after 200 ms
+COMMON_WITHIN = 2.5  # the same where others may wait before it: given up sooner, it was served for nothing
 
 
 class _Watch:
-    """The calls to one address, beginning with the whole list."""
+    """The calls to one address, beginning with the whole list, or with what is newer than the one in hand."""
 
-    def __init__(self, address: str, take: Callable[[_Watch, Change], None]) -> None:
+    def __init__(
+        self, address: str, take: Callable[[_Watch, Change], None], pace: CallPace, rev: int | None = None
+    ) -> None:
         self.address = address
+        self._pace = pace
+        self._within = COMMON_WITHIN if pace.common else ANSWER_WITHIN
         self._base = URL(f"http://{address}/discovery/hosts")
         self._take = take
-        self._rev: int | None = None
+        self._rev = rev
         self._silent = False
 
     async def run(self) -> None:
@@ -37,9 +43,13 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None),
         ) as session:
+            if self._rev is not None:
+                await asyncio.sleep(self._pace.first())
             while True:
-                if not await self._once(session):
-                    await asyncio.sleep(PAUSE)
+                if await self._once(session):
+                    self._pace.answered()
+                else:
+                    await asyncio.sleep(self._pace.failed())
 
     async def _once(self, session: aiohttp.ClientSession) -> bool:
         url, wait = self._base, 0.0
@@ -47,7 +57,7 @@
             url, wait = url.with_query(after=self._rev, wait_ms=WAIT_MS), WAIT_MS / 1000
         try:
             async with (
-                asyncio.timeout(wait + ANSWER_WITHIN),
+                asyncio.timeout(wait + self._within),
                 session.get(url, allow_redirects=False) as response,
             ):
                 body = await response.read()
@@ -86,7 +96,10 @@
         roster: Roster,
         learn: Callable[[Scope, tuple[WorkerInfo, ...]], None],
         on_settled: Callable[[], None] = lambda: None,
+        pace: CallPace | None = None,
     ) -> None:
+        self._pace = pace or CallPace(False, 1, Random(0))
+        self._known: int | None = None  # the version of the list in hand, where a watch may go on from it
         self._roster = roster
         self._learn = learn
         self._on_settled = on_settled  # told when the address wanted last has answered
@@ -95,7 +108,7 @@
         self._watch: _Watch | None = None  # the one whose list counts
         self._coming: _Watch | None = None  # the one that takes over with its first answer
         self._tasks: dict[_Watch, asyncio.Task[None]] = {}
-        self.heard = asyncio.Event()  # discovery has answered with a list
+        self.ready = asyncio.Event()  # there is a list to serve by: discovery's answer, or one from before
 
     def restore(self, known: object) -> None:
         """Start from the list kept in the configuration, which may be old."""
@@ -107,6 +120,9 @@
             log.warning("known list not usable: %s", fault)
             return
         self._learn(*self._roster.apply(change, restored=True))
+        if self._pace.common and change.entries:  # the whole list costs it twice as much as what is newer
+            self._known = change.rev
+            self.ready.set()
 
     def move(self, address: str) -> None:
         """Watch another address from now on; until it has answered, the one before goes on."""
@@ -122,7 +138,8 @@
                 if self._watch is not None and self._watch.address == address:
                     self._on_settled()
                     continue
-                self._coming = _Watch(address, self._take)
+                self._coming = _Watch(address, self._take, self._pace, self._known)
+                self._known = None  # another address may count its versions anew
                 self._tasks[self._coming] = group.create_task(self._coming.run())
 
     def _end(self, watch: _Watch | None) -> None:
@@ -142,7 +159,7 @@
             level = logging.INFO if change.full else logging.DEBUG
             log.log(level, "list rev %d, %s, %d entries", change.rev, scope.value, len(infos))
             self._learn(scope, infos)
-        self.heard.set()
+        self.ready.set()
         if moved:
             log.info("discovery is watched at %s", watch.address)
             self._on_settled()
