Few schedulers decide as before: weights as load and longer bars need more than ten siblings

Change: both apply only where more than ten siblings share the workers (MANY). The reports' path counts own jobs as it did.

--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -175,6 +175,7 @@
 TOLD_MS = (
     4000.0  # weights that fall with the load are renewed about every second: older is no news
 )
+MANY = 10  # with more siblings own traffic shows under a tenth of a worker's jobs; with few late news is worse
 TOLD_HIDES = 0.3  # share of what own traffic hides that such weights hide too: they come late
 SIZE_NOISE = 1.03  # weights that fall with the load are told with some noise
 LOOK = 4  # members of a wide set looked at
@@ -247,7 +248,7 @@
         self.fleet = 0.0  # own jobs out for each ready worker, averaged as a worker's own are
         self.prior, self.blind = 1.0, 0.0  # weight of the fleet's mean; share of all that own traffic hides
         self.out: list[fw.Action] = []
-        self.told = False  # the list tells of the workers' loads
+        self.told, self.sparse = False, settings.siblings > MANY  # the list tells of the workers' loads
         self.born = self.ticking = self.renewing = False
         self.renew_after = self.rescues = 0.0
         self.holds: dict[str, tuple[int, float]] = {}  # per class: samples and mean time in a slot
@@ -362,9 +363,9 @@
         usual = peers * self.fleet * self._warmth(w, now)  # peers spare a cold worker too
         if w.pool.jobs:  # a report is soon as old as the jobs it counted
             told = (w.jobs - w.pool.jobs) * math.exp((w.jobs_at - now) / (w.pool.hold or MEAN_MS))
-            usual = max(w.pool.jobs + told - w.jobs_own, 0.0)
             if now - w.told_at < TOLD_MS:
-                return w.count + usual
+                return w.count + max(w.pool.jobs + told - w.jobs_own, 0.0)
+            usual = max(w.pool.jobs + told - w.count, 0.0)
         return w.count + peers * mean * (1 - self.prior) + usual * self.prior
 
     def _take_stock(self, now: float) -> None:
@@ -377,8 +378,7 @@
         self.connect *= math.exp(-past / CONNECT_FADES_MS)
         self.prior = PRIOR_JOBS / (known + PRIOR_JOBS)
         self.blind = self.prior * (1 - 1 / self.settings.siblings)
-        if self.told:
-            self.blind *= TOLD_HIDES
+        self.blind *= TOLD_HIDES if self.told else 1.0
         self._learn_part()
 
     def _seen(self, w: _Worker, now: float) -> float:
@@ -521,7 +521,7 @@
         # A trickle of real jobs finds out whether it is back; a job that must not run twice is no probe.
         risky = job.cls.repeat is Repeat.SINGLE_SHOT and not w.unreachable
         barred = w.strikes >= 1 and (now < w.barred_until or w.count or risky)
-        gone = w.unreachable and now < w.barred_until  # it turned a connect down at once: that is no guess
+        gone = self.sparse and w.unreachable and now < w.barred_until  # it turned a connect down: no guess
         if not w.ready or gone or barred and w.pool.sick * 2 < w.pool.ready:
             return False
         if w.classes is not None and job.cls.name not in w.classes:
@@ -551,9 +551,9 @@
         w.strikes = min(w.strikes + strikes, 5.0)
         w.pool.sick += (w.strikes >= 1) - was
         # Where own sends to a worker lie far apart a short bar ends unused, and a trial is a job's attempt.
-        first = max(BAR_MS, HEAT_MS * len(self.ready) / max(self.heat, 1.0) * self.prior**2)
+        first = max(BAR_MS, HEAT_MS * len(self.ready) / max(self.heat, 1.0) * self.sparse)
         bar = min(first * 2 ** (w.strikes - 1), BAR_MOST_MS)
-        w.barred_until = now + bar * self.random.uniform(1 - BAR_SPREAD * self.prior, 1.0)
+        w.barred_until = now + bar * self.random.uniform(1 - BAR_SPREAD * self.sparse, 1.0)
 
     def _praise(self, w: _Worker, now: float) -> None:
         if w.strikes:
@@ -837,11 +837,12 @@
         for info in e.workers:
             w = self.workers.get(info.name) or self._new_worker(info)
             w.ready, w.classes = info.readiness is fw.Readiness.READY, info.classes
-            if self.settings.live_weights and info.weight > w.pool.size:
+            live = self.settings.live_weights
+            if live and info.weight > w.pool.size:
                 grown, w.pool.size = info.weight > w.pool.size * SIZE_NOISE, info.weight
                 if grown:  # the keys' orders went by a load
                     self._reorder()
-            if self.settings.live_weights and e.scope is not fw.Scope.RESTORED and info.weight > 0:
+            if self.sparse and live and e.scope is not fw.Scope.RESTORED and info.weight > 0:
                 w.told_at, self.told = now, True
                 self._jobs_there(w, (w.pool.size / info.weight - 1) * w.pool.most, now)
             if info.online_since > w.since:
