--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -172,10 +172,8 @@
 PRIOR_JOBS = 3.0  # the fleet's mean counts for so many own jobs at a worker
 MEAN_MS = 6000.0  # own #T is averaged over about two jobs' time to stand for the peers' part
 DELAY_FADES_MS = 1000.0  # what one start told of a queue fades over about a job's time
-TOLD_MS = (
-    4000.0  # weights that fall with the load are renewed about every second: older is no news
-)
-MANY = 10  # with more siblings own traffic shows under a tenth of a worker's jobs; with few late news is worse
+TOLD_MS = 4000.0  # weights that fall with the load are renewed about every second
+MANY = 10  # with more siblings own traffic shows under a tenth of a worker's jobs
 TOLD_HIDES = 0.3  # share of what own traffic hides that such weights hide too: they come late
 SIZE_NOISE = 1.03  # weights that fall with the load are told with some noise
 LOOK = 4  # members of a wide set looked at
