--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -64,8 +64,7 @@
 
 
 def test_workers_that_turn_connects_down_stay_barred_though_most_do() -> None:
-    """A stale list names more workers that are gone than live: a third of all reqs spent their three fetches
-    on those (herd+vast)."""
+    """A stale list names as many workers that are gone as live, and fetches go to those (herd+vast)."""
     d = _dispatcher()
     d.handle(1, fw.Request("first", "free", 10000, "k"))
     for name in NAMES[:45]:
