A watch begins with the whole list again where discovery counts its versions anew

Need: where discovery is asked, a restart goes on from the known list's version; a discovery that counts anew answers with an older one, and what had changed before, a drain too, was never told. At fault: director/watch.py took it as newer. Change: an older version without the whole list is a failed call, and the next one asks for the whole list.

--- a/oxbowyard/director/watch.py
+++ b/oxbowyard/director/watch.py
@@ -64,6 +64,9 @@
             if response.status != 200:
                 raise BrokenList(f"status {response.status}")
             change = parse_list(orjson.loads(body))
+            if self._rev is not None and not change.full and change.rev < self._rev:
+                self._rev = None  # it counts anew: what changed before would never be told
+                raise BrokenList("an older version than the one in hand")
             if self._rev is None and not change.full:
                 raise BrokenList("not the whole list")
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as fault:
