Idempotency-Key is passed on to scan workers, from every front, on repeats and after a crash

The log says that the first fetch of a reporte was answered 400, "not as its client sent it". Ruled out: body and target (the other two classes passed), Req-Id (the same).

The core's Req holds it; a waiting or durable job goes out with the key of its hand-in (a batch's with the number), a repeat with the same one. Twice, empty, over 255 bytes, with spaces or control bytes: 400, and nothing is sent.

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -157,6 +157,8 @@
         "Req-Kind": req.backend_class or req.job_class,
         "Req-Deadline": f"{max(round(notes.time_left * 1000), 1)}m",
         "Content-Length": str(len(req.payload)),
+        # As the client sent it: a backend knows a repeat by it, and takes a req that lacks it for another.
+        **({"Idempotency-Key": req.idempotency_key} if req.idempotency_key else {}),
         **({"Job-Lease": req.lease} if req.lease else {}),
     }
 
--- a/oxbowyard/clients/waiting.py
+++ b/oxbowyard/clients/waiting.py
@@ -32,6 +32,7 @@
     read_deadline,
     read_extras,
     read_id,
+    read_idempotency_key,
     read_slots,
     read_target,
     single,
@@ -44,7 +45,6 @@
 }  # fmt: skip
 UNFIT = 422  # what no later try will mend
 PRIORITIES = {"high": HIGH, "normal": None, "low": LOW}
-MOST_TOKEN = 255  # bytes of an idempotency key
 MOST_TENANT = 128
 JSON = "application/json"
 F = TypeVar("F", bound=msgspec.Struct)
@@ -205,7 +205,7 @@
         deadline = MOST_DEADLINE if form.deadline_s is None else form.deadline_s
         if not 0 < deadline <= MOST_DEADLINE:
             raise Fault(400, "deadline_s is out of range")
-        return self._req(form.class_, form.id, target, payload, form.extra, deadline, wait.tenant), wait
+        return self._req(form.class_, form.id, target, payload, form.extra, deadline, wait), wait
 
     async def _hand_in_raw(self, request: BaseRequest, job_class: str, body: bytes) -> web.Response:
         headers = request.headers
@@ -237,7 +237,7 @@
             body,
             single(headers, "Req-Extra") or "",
             read_deadline(deadline) if deadline else MOST_DEADLINE,
-            wait.tenant,
+            wait,
         )
         return await self._take([(req, wait)], many=False)
 
@@ -249,7 +249,7 @@
         payload: bytes,
         extra: str,
         deadline: float,
-        tenant: str,
+        wait: Wait,
     ) -> Req:
         if job_class not in self._classes:
             raise Rejected(Code.UNKNOWN_CLASS, f"no class {job_class}")
@@ -266,9 +266,10 @@
             target=target,
             payload=payload,
             key=parse_qs(query).get("obj", [None])[0],
-            tenant=tenant or None,
+            tenant=wait.tenant or None,
             slots=read_slots(extras),
             extras=extras,
+            idempotency_key=wait.token,  # a worker drops a repeat of the job, and of a hand-in of it, by this
         )
 
     async def _take(self, jobs: list[tuple[Req, Wait]], many: bool) -> web.Response:
@@ -414,10 +415,7 @@
 
 
 def _token(request: BaseRequest) -> str:
-    token = single(request.headers, "Idempotency-Key") or ""
-    if len(token) > MOST_TOKEN:
-        raise Fault(400, f"an Idempotency-Key holds {MOST_TOKEN} bytes at most")
-    return token
+    return read_idempotency_key(single(request.headers, "Idempotency-Key"))
 
 
 def _tenant(text: str) -> str:
--- a/oxbowyard/clients/wording.py
+++ b/oxbowyard/clients/wording.py
@@ -14,6 +14,8 @@
 
 ID_FORM = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:~-]{0,127}", re.ASCII)
 DEADLINE_FORM = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])", re.ASCII)
+MOST_IDEMPOTENCY_KEY = 255  # bytes
+IDEMPOTENCY_KEY_FORM = re.compile(rf"[!-~]{{1,{MOST_IDEMPOTENCY_KEY}}}", re.ASCII)
 TARGET_FORM = re.compile(r"/(?:[!-~]*)", re.ASCII)
 UNITS = {"m": 1e-3, "u": 1e-6}
 STATUS = {Kind.SERVED: 200, Kind.REFUSED: 503, Kind.FAILED: 502}
@@ -56,6 +58,17 @@
     return text
 
 
+def read_idempotency_key(text: str | None) -> str:
+    """The client's own name for the work, safe to pass on in a header; empty if it gave none."""
+    if text is None:
+        return ""
+    if not IDEMPOTENCY_KEY_FORM.fullmatch(text):
+        raise Fault(
+            400, f"an Idempotency-Key is 1 to {MOST_IDEMPOTENCY_KEY} printable characters without a space"
+        )
+    return text
+
+
 def read_deadline(text: str | None) -> float:
     """How many seconds the client will wait."""
     form = DEADLINE_FORM.fullmatch(text or "")
@@ -113,6 +126,7 @@
         slots=read_slots(extras),
         is_retry=single(headers, "Req-Retry") == "1",
         extras=extras,
+        idempotency_key=read_idempotency_key(single(headers, "Idempotency-Key")),
     )
 
 
--- a/oxbowyard/core/req.py
+++ b/oxbowyard/core/req.py
@@ -63,6 +63,7 @@
     is_retry: bool = False
     backend_class: str = ""  # the class as backends know it, if that is another
     extras: Mapping[str, str] = field(default_factory=dict)
+    idempotency_key: str = ""  # a client's own name for the work: by it workers drop a repeat
     lease: str = ""  # told to the backend: by it a late end is known
     # Called with the backend just before the req may run there; it may only be sent once `then` is called.
     grant: Callable[[str, Callable[[], None]], None] | None = None
--- a/oxbowyard/durable/ledger.py
+++ b/oxbowyard/durable/ledger.py
@@ -131,7 +131,7 @@
     return Req(
         id=taken.id, job_class=taken.job_class, patience=deadline, target=fields["target"],
         payload=taken.payload, key=fields["key"], tenant=taken.tenant or None, slots=fields["slots"],
-        extras=fields["extras"],
+        extras=fields["extras"], idempotency_key=taken.token,
     )  # fmt: skip
 
 
