Fetched data has a price, hot keys a set a zone; worth by work; permits leave kept connections

Running means, sorted orders and what came last went to decision/books.py: they count and decide nothing.

--- /dev/null
+++ b/oxbowyard/decision/books.py
@@ -0,0 +1,117 @@
+"""What the decisions are counted by: running means, what came last, a sorted order. Nothing here decides."""
+
+from __future__ import annotations
+
+import hashlib
+from bisect import bisect
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+def digest(name: str) -> int:
+    """64 bits of a name, alike in every process, unlike hash()."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+class Means:
+    """The mean of a figure by name; past `most` samples the earlier ones fade."""
+
+    __slots__ = ("_means", "_most")
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._means: dict[str, tuple[int, float]] = {}
+
+    def add(self, name: str, value: float) -> float:
+        """Take a value in, and return the mean before it; of the first one, itself."""
+        n, mean = self._means.get(name, (0, value))
+        self._means[name] = n + 1, mean + (value - mean) / min(n + 1, self._most)
+        return mean
+
+    def of(self, name: str, otherwise: float = 0.0) -> float:
+        """The mean, or this where there is none yet."""
+        return self._means.get(name, (0, otherwise))[1]
+
+    def count(self, name: str) -> int:
+        """How many values were taken in."""
+        return self._means.get(name, (0, 0.0))[0]
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._means
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._means)
+
+
+class Contrast:
+    """How much more a figure is with something than without it, over groups that scatter unlike."""
+
+    __slots__ = ("_outlier", "_with", "_without", "more")
+
+    def __init__(self, most: int, outlier: float) -> None:
+        self._with, self._without = Means(most), Means(most)
+        self._outlier = outlier  # a value counts for no more than this multiple of its mean
+        self.more = 0.0  # 0 as well where it is less
+
+    def add(self, group: str, has: bool, value: float) -> None:
+        """Take a value in. The figures of a group scatter about as wide as they are large: the small ones
+        tell most, and a group tells as much as the side of which it has seen less."""
+        side = self._with if has else self._without
+        side.add(group, min(value, self._outlier * max(side.of(group, value), 1.0)))
+        more = weights = 0.0
+        for name in self._with:
+            seen = min(self._with.count(name), self._without.count(name))
+            weight = seen / max(self._with.of(name) + self._without.of(name), 1.0) ** 2
+            more += weight * (self._with.of(name) - self._without.of(name))
+            weights += weight
+        self.more = max(more, 0.0) / weights if weights else 0.0
+
+
+@dataclass(slots=True)
+class Latest:
+    """The items met last, so many at most."""
+
+    items: dict[int, None] = field(default_factory=dict)
+
+    def meet(self, item: int, most: int) -> bool:
+        """It is the last one now; say whether it was among them."""
+        known = item in self.items
+        self.items.pop(item, None)
+        self.items[item] = None
+        while len(self.items) > max(most, 1):
+            del self.items[next(iter(self.items))]
+        return known
+
+    def __contains__(self, item: int) -> bool:
+        return item in self.items
+
+
+@dataclass(slots=True)
+class Order(Generic[T]):
+    """Things sorted by their places. One that is named later is put in where it belongs."""
+
+    items: list[T] = field(default_factory=list)
+    places: list[float] = field(default_factory=list)
+    taken: int = 0  # so many of all ever named
+
+    def upto(self, named: list[T], place: Callable[[T], float | None]) -> list[T]:
+        """All that were named, but those without a place, in order: a change costs what it changes."""
+        if self.taken < len(named):
+            new = {at: thing for thing in named[self.taken :] if (at := place(thing)) is not None}
+            if self.items:
+                for at, thing in new.items():
+                    index = bisect(self.places, at)
+                    self.places.insert(index, at)
+                    self.items.insert(index, thing)
+            else:
+                self.places = sorted(new)
+                self.items = [new[at] for at in self.places]
+            self.taken = len(named)
+        return self.items
+
+    def clear(self) -> None:
+        """Begin anew."""
+        self.items, self.places, self.taken = [], [], 0
--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -7,14 +7,15 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import random
-from bisect import bisect
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import chain
 
 from . import interface as fw
+from .books import Contrast, Latest, Means, Order, digest
 from .interface import JobClass, Outcome, Repeat, Request, Result
 
 TICK, RENEW = 0, 1  # timer tags
@@ -83,6 +84,7 @@
     window: int = -1  # while cold: the one that `allowed` holds for
     allowed: int = 0
     connections: int = 0  # own ones, presumed open
+    kept: Latest = field(default_factory=Latest)  # keys of own jobs lately: their data should be there
     used_at: float = 0.0
 
 
@@ -93,9 +95,7 @@
     salt: int
     count: int = 0  # #T of the key
     size: int = 1
-    order: list[_Worker] = field(default_factory=list)
-    places: list[float] = field(default_factory=list)  # of the order's workers
-    version: int = 0  # how many of the workers ever named its order has taken in
+    order: Order[_Worker] = field(default_factory=Order)
     changed: float = 0.0
     heat: float = 0.0  # its requests of late, those of HEAT_MS ago counting for a third
     heat_at: float = 0.0
@@ -115,11 +115,11 @@
     worker: _Worker
     job: _Job
     sent: float
-    home: bool  # sent to its key's set
     load: float  # the worker's, as reckoned before it
     fresh: bool  # it needs a new connection
     look_at: float = 0.0  # when to look for another worker
     started: float = -1.0
+    found: bool = False  # its key's data should have been there
     over: bool = False
     cancelled: bool = False
 
@@ -153,12 +153,8 @@
     filled: float = 0.0
 
 
-def _hash(name: str) -> int:
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
 def _place(key: int, w: _Worker) -> float:
-    """A worker's place in a key's rendezvous order, alike at every dispatcher, unlike hash(): its share of
+    """A worker's place in a key's rendezvous order, alike at every dispatcher: its share of
     the keys is its weight over the pace of its kind."""
     mixed = ((key ^ w.salt) * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
     mixed = ((mixed ^ (mixed >> 31)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
@@ -180,6 +176,7 @@
 SCAN = 16  # workers looked at past the set, in the key's order, fewer where little is known of each
 RECENT, LUCK = 4, 2  # and past these: lately good ones, and some at random
 OVERLOAD, FEW = 2.0, 2.0  # overloaded: twice the larger of the mean #T and two, as DESIGN says
+LOCAL, LOCAL_SEEN = 0.6, 3.0  # mean worker loads that a key must bring for each zone; requests that show it
 HOT, HEAT_MS = 0.3, 10000.0  # a key may bring a set worker this multiple of the mean load
 SHRINK_AFTER_MS = 3000.0  # a set keeps its size for a few jobs' time, so that it does not flap
 
@@ -188,7 +185,7 @@
 HOLD_SAMPLES = 200
 CONNECT_SAMPLES, CONNECT_FADES_MS = 8, 10000.0  # new connections are few: a price soon learned, and kept
 WAIT_SAMPLES = 6  # starts that the fleet's mean wait is taken over
-RATIO_SAMPLES = 50  # how many jobs the price of leaving the set is averaged over
+RATIO_SAMPLES = 50  # how many jobs a kind's pace is averaged over
 REORDER = 0.15  # a kind's pace is off by so much: the keys' orders are made anew
 OUTLIER = 8.0  # a job counts for no more than this multiple of the mean: running times have long tails
 
@@ -239,6 +236,7 @@
         self.lines: dict[str, _Line] = {}
         self.turns: list[_Line] = []  # lines whose first request has left
         self.ready: list[_Worker] = []
+        self.zones = 1  # theirs
         self.named: list[_Worker] = []  # every worker as it was first named; keys patch their orders from it
         self.good: deque[_Worker] = deque(maxlen=RECENT)  # started a job at once, or reported a free slot
         self.total, self.salt = 0, self.random.getrandbits(63)  # own attempts out; what tells siblings apart
@@ -249,9 +247,9 @@
         self.told, self.sparse = False, settings.siblings > MANY  # the list tells of the workers' loads
         self.born = self.ticking = self.renewing = False
         self.renew_after = self.rescues = 0.0
-        self.holds: dict[str, tuple[int, float]] = {}  # per class: samples and mean time in a slot
-        self.ratios = [1.0, 1.0]  # time in a slot over the class's mean, outside and inside the set
-        self.price = self.connect = 0.0  # of leaving the set; of a new connection, of late
+        self.holds = Means(HOLD_SAMPLES)  # mean time in a slot, by class
+        self.fetching = Contrast(HOLD_SAMPLES, OUTLIER)  # how much longer it is where a key's data is fetched
+        self.connect = 0.0  # price of a new connection, of late
         self.phase = self.random.uniform(0.0, settings.tip_after)  # siblings' windows do not begin together
         self.tick_ms = settings.connect_timeout / TICKS_A_TIMEOUT
         self.part = 1.0  # this dispatcher's traffic over the mean dispatcher's
@@ -282,7 +280,7 @@
     def _on_request(self, now: float, e: Request) -> None:
         cls = self.classes.get(e.job_class, self.unknown)
         place = (e.key or "", cls.kind)
-        key = self.keys.pop(place, None) or _Key(_hash(e.key or ""))
+        key = self.keys.pop(place, None) or _Key(digest(e.key or ""))
         if len(self.keys) >= LIVE_KEYS:
             self.keys.pop(next(iter(self.keys)))
         self.keys[place] = key
@@ -301,19 +299,7 @@
 
     def _order(self, key: _Key, kind: str | None) -> list[_Worker]:
         """The key's workers in rendezvous order, gone ones too: a list change costs what it changes."""
-        if key.version < len(self.named):
-            salt = key.salt
-            new = {_place(salt, w): w for w in self.named[key.version :] if kind in (None, w.kind)}
-            if key.order:
-                for place, w in new.items():
-                    at = bisect(key.places, place)
-                    key.places.insert(at, place)
-                    key.order.insert(at, w)
-            else:
-                key.places = sorted(new)
-                key.order = [new[place] for place in key.places]
-            key.version = len(self.named)
-        return key.order
+        return key.order.upto(self.named, lambda w: _place(key.salt, w) if kind in (None, w.kind) else None)
 
     def _rank(self, w: _Worker, cls: JobClass, now: float) -> float:
         """Load over slots. Peers are taken to load a worker as this dispatcher does on average, and what
@@ -327,7 +313,7 @@
             load = max(load, slots) + self.connect * slots / pool.hold
         rank = (load + 1) / (slots * self._warmth(w, now))
         if (slow := self._slowness(w, now)) > 1 and pool.hold:
-            rank += (slow - 1) * self.holds.get(cls.name, (0, pool.hold))[1] / pool.hold
+            rank += (slow - 1) * self.holds.of(cls.name, pool.hold) / pool.hold
         if cls.repeat is Repeat.SINGLE_SHOT and w.doubt:
             rank += DOUBT_RANK * w.doubt * math.exp((w.doubt_at - now) / DOUBT_FADES_MS)
         return rank
@@ -341,7 +327,7 @@
     def _due(self, attempt: _Attempt, now: float) -> float:
         """So many jobs of its class would have ended in the time that this one has run."""
         w = attempt.worker
-        mean = self.holds.get(attempt.job.cls.name, (0, math.inf))[1] * w.pool.pace
+        mean = self.holds.of(attempt.job.cls.name, math.inf) * w.pool.pace
         return min((now - attempt.started) * self._warmth(w, now) / max(mean, 1.0), OUTLIER)
 
     def _connected(self, w: _Worker, now: float) -> bool:
@@ -384,9 +370,8 @@
         pool = w.pool
         usual = pool.wait * self.blind
         if now - w.told_at < TOLD_MS and pool.hold:
-            usual = (
-                max(self._load(w, now) - pool.slots, 0.0) * pool.hold / (pool.slots * self._warmth(w, now))
-            )
+            over = max(self._load(w, now) - pool.slots, 0.0)
+            usual = over * pool.hold / (pool.slots * self._warmth(w, now))
         seen = usual + (w.delay - usual) * math.exp((w.delay_at - now) / DELAY_FADES_MS)
         if w.waiting:
             seen = max(seen, now - next(iter(w.waiting)).sent - 2 * w.base)
@@ -402,13 +387,13 @@
         """The three steps of P-DACA over the usable workers: the key's set, then some others."""
         key = job.key
         best = spill = None
-        best_rank = spill_rank = math.inf
+        best_rank = spill_rank = spill_cost = math.inf
         members = 0
         others: list[_Worker] = []
-        affinity = max(W1_AIM_SHARE * job.cls.aim, self.price)  # may cost so much waiting
+        affinity = max(W1_AIM_SHARE * job.cls.aim, self.fetching.more)  # may cost so much waiting
         first = (key.salt ^ self.salt) % key.size  # dispatchers look at different parts of a wide set
         scan = 2 + round(SCAN * (1 - self.blind))
-        for w in self._order(key, job.cls.kind):
+        for w in self._near_first(key, self._order(key, job.cls.kind)):
             if not w.ready or w in job.tried or not self._usable(w, job, now):
                 continue
             members += 1
@@ -421,13 +406,24 @@
             if members == key.size and best_rank < W2 + affinity / (w.pool.hold or job.cls.aim):
                 return best, best_rank
         for w in others + (self._elsewhere(job, now) if len(others) == scan else []):
-            if w is not best and (rank := self._rank(w, job.cls, now)) < spill_rank:
-                spill, spill_rank = w, rank
+            if w is best:
+                continue
+            rank = self._rank(w, job.cls, now)
+            cost = rank if key.salt in w.kept else rank + self.fetching.more / (w.pool.hold or MEAN_MS)
+            if cost < spill_cost:
+                spill, spill_rank, spill_cost = w, rank, cost
         if spill and (spill_rank < W2 or best and self._hopeless(job, best, best_rank, now)
-                      and not self._hopeless(job, spill, spill_rank, now, self.price)):  # fmt: skip
+                      and not self._hopeless(job, spill, spill_rank, now, self.fetching.more)):  # fmt: skip
             return spill, spill_rank
         return best, best_rank
 
+    def _near_first(self, key: _Key, order: list[_Worker]) -> Iterable[_Worker]:
+        """A key that needs a worker in each zone anyhow has one set a zone: fewer requests cross."""
+        zone, hot = self.settings.zone, key.heat * len(self.ready) > LOCAL * self.zones * self.heat
+        if self.sparse or not hot or key.heat < LOCAL_SEEN:
+            return order
+        return chain((w for w in order if w.zone == zone), (w for w in order if w.zone != zone))
+
     def _elsewhere(self, job: _Job, now: float) -> list[_Worker]:
         """Lately good workers and some at random, so that dispatchers do not all spill to the same."""
         more = [*self.good, *self.random.sample(self.ready, min(LUCK, len(self.ready)))]
@@ -466,8 +462,11 @@
 
     def _send(self, job: _Job, worker: _Worker, now: float) -> None:
         self.held.pop(job.id, None)
-        home, fresh = worker in job.key.order[: job.key.size], not self._connected(worker, now)
-        attempt = _Attempt(worker, job, now, home, self._load(worker, now), fresh)
+        if job.cls.repeat is Repeat.SINGLE_SHOT and worker.connections > worker.count:
+            # What is written to a kept connection of a worker that was cut off is lost, and may have run.
+            worker.connections = worker.count
+            self.out.append(fw.Close(worker.name))
+        attempt = _Attempt(worker, job, now, self._load(worker, now), not self._connected(worker, now))
         worker.used_at = now
         job.attempts.append(attempt)
         job.out += 1
@@ -493,6 +492,7 @@
         w.waiting.pop(attempt, None)
         self.unstarted.pop(attempt, None)
         w.running[attempt] = None
+        attempt.found = w.kept.meet(job.key.salt, w.pool.most)  # it is taken to keep as many as it runs
         w.pool.most = max(w.pool.most, len(w.running))
         w.base = min(w.base, now - attempt.sent)
         w.delay, w.delay_at = now - attempt.sent - w.base, now
@@ -620,11 +620,8 @@
         self.total -= 1
         job.key.count -= 1
         job.out -= 1
-        if attempt.started >= 0:
-            del w.running[attempt]
-        else:
-            w.waiting.pop(attempt, None)
-            self.unstarted.pop(attempt, None)
+        for place in (w.running, w.waiting, self.unstarted):
+            place.pop(attempt, None)
         self._learn(w, attempt, e, now)
         if job.line is not None and e.result in MAY_RUN_ON:
             job.line.rests_until = now + self.settings.turn_gap
@@ -677,26 +674,22 @@
         if "free_slots" in e.load:
             w.pool.most = max(w.pool.most, int(e.load["free_slots"]))
             w.pool.slots = max(w.pool.slots, w.pool.most)
-            self._jobs_there(
-                w, max(w.pool.most - e.load["free_slots"] + e.load.get("waiting", 0.0), 0.0), now
-            )
+            there = w.pool.most - e.load["free_slots"] + e.load.get("waiting", 0.0)
+            self._jobs_there(w, there, now)
 
     def _jobs_there(self, w: _Worker, jobs: float, now: float) -> None:
         w.jobs, w.jobs_own, w.jobs_at = max(jobs, 0.0), w.count, now
         w.pool.jobs += (w.jobs - w.pool.jobs) / (3 * WAIT_SAMPLES)
 
     def _learn_price(self, attempt: _Attempt, hold: float) -> None:
-        """What leaving the set costs: jobs hold their slots longer where their key's data must be fetched."""
-        n, mean = self.holds.get(attempt.job.cls.name, (0, hold))
-        self.holds[attempt.job.cls.name] = n + 1, mean + (hold - mean) / min(n + 1, HOLD_SAMPLES)
-        i = attempt.home
-        self.ratios[i] += (min(hold / max(mean, 1.0), OUTLIER) - self.ratios[i]) / RATIO_SAMPLES
-        pool = attempt.worker.pool
+        """What a fetch of a key's data costs: so much longer jobs hold their slots where it was not kept."""
+        name, pool = attempt.job.cls.name, attempt.worker.pool
+        self.fetching.add(name, not attempt.found, hold)
+        mean = self.holds.add(name, hold)
         pool.pace += (min(hold / max(mean, 1.0), OUTLIER) - pool.pace) / RATIO_SAMPLES
         if attempt.worker.weight != 1 and abs(pool.pace / pool.weighed - 1) > REORDER:
             pool.weighed = pool.pace
             self._reorder()
-        self.price = max(self.ratios[0] - self.ratios[1], 0.0) * pool.hold
 
     def _rescue(self, now: float) -> None:
         """Move free jobs that have not started where others would start them at once."""
@@ -731,9 +724,9 @@
         for other in line.jobs:
             if other is job:
                 break
-            wait += self.holds.get(other.cls.name, (0, 0.0))[1]
+            wait += self.holds.of(other.cls.name)
         cls = job.cls
-        hold = self.holds.get(cls.name, (0, 0.0))[1]
+        hold = self.holds.of(cls.name)
         return now - job.born + wait > cls.aim + max(cls.stretch - 1, 0.0) * hold
 
     def _next_turn(self, line: _Line, now: float) -> None:
@@ -775,12 +768,15 @@
 
     def _patience(self, cls: JobClass) -> float:
         """How long a class may wait before it is refused: longer if it earns more for its time in a slot."""
-        mean = self.holds.get(cls.name, (0, 0.0))[1]
-        earned = sum(c.worth for c in self.settings.classes if c.name in self.holds)
+        mean = self.holds.of(cls.name)
+        seen = [c for c in self.settings.classes if c.name in self.holds]
+        earned = sum(c.worth for c in seen)
         if not mean or not earned:
             return HOPELESS * cls.aim
-        usual = earned / sum(h for _, h in self.holds.values())
-        favour = cls.worth / mean / usual
+        if self.settings.by_work:  # worth is for time in a slot already; the root: no class is to starve
+            favour = math.sqrt(cls.worth * len(seen) / earned)
+        else:
+            favour = cls.worth / mean * sum(self.holds.of(c.name) for c in seen) / earned
         return HOPELESS * cls.aim * min(max(favour, 1 / FAVOUR_MOST), FAVOUR_MOST)
 
     def _give_up(self, job: _Job, now: float, backoff: float | None = None) -> None:
@@ -845,19 +841,21 @@
                 self._jobs_there(w, (w.pool.size / info.weight - 1) * w.pool.most, now)
             if info.online_since > w.since:
                 w.since, w.connections, w.barred_until = info.online_since, 0, 0.0
+                w.kept = Latest()
         for gone in [w for w in self.workers.values() if not w.ready and not w.count]:
             del self.workers[gone.name]
             gone.pool.sick -= gone.strikes >= 1
         if len(self.named) > 2 * len(self.workers) + SCAN:  # mostly gone ones: the keys start anew
             self._reorder()
         self.ready, self.renew_after = [w for w in self.workers.values() if w.ready], 0.0
+        self.zones = len({w.zone for w in self.ready})
         for pool in self.pools.values():
             pool.ready = sum(w.pool is pool for w in self.ready)
 
     def _reorder(self) -> None:
         self.named = list(self.workers.values())
         for key in self.keys.values():
-            key.order, key.version = [], 0
+            key.order.clear()
 
     def capacity(self, job_class: str, now: float) -> tuple[int, float, bool]:
         """Ready workers for a class, the load they take before jobs wait, and whether no peer sends there."""
@@ -870,7 +868,7 @@
     def _new_worker(self, info: fw.WorkerInfo) -> _Worker:
         slots = info.slots or CAUTIOUS_SLOTS
         pool = self.pools.setdefault(info.kind, _Pool(slots, slots, slots, info.private))
-        w = _Worker(info.name, info.zone, info.kind, info.cell, _hash(info.name), info.weight, pool)
+        w = _Worker(info.name, info.zone, info.kind, info.cell, digest(info.name), info.weight, pool)
         self.workers[w.name] = w
         self.named.append(w)
         return w
--- a/oxbowyard/decision/facade.py
+++ b/oxbowyard/decision/facade.py
@@ -228,6 +228,8 @@
                 return Cancel(id_, attempt)
             case api.SetTimer(tag=tag, delay=delay):
                 heapq.heappush(self._timers, (self._last + delay, next(self._order), tag))
+            case api.Close():  # every fetch opens a connection of its own: none is kept idle
+                pass
             case api.Record(text=text):
                 log.info("module: %s", text)
             case _:  # the platform pushes its list and this design does not probe
--- a/oxbowyard/decision/facts.py
+++ b/oxbowyard/decision/facts.py
@@ -74,6 +74,7 @@
         classes=tuple(classes),
         siblings=_need(facts, "siblings"),
         zone=facts.get("myZone") or "",
+        by_work=facts.get("worthBy") == "work",
         tenants=tuple(api.Tenant(a["name"], a.get("quotaPerS") or 0.0) for a in facts.get("accounts") or []),
         over_share_worth=facts.get("overShareWorth", 1.0),
         must_subscribe=facts.get("discovery") == "ask",
--- a/oxbowyard/decision/interface.py
+++ b/oxbowyard/decision/interface.py
@@ -84,6 +84,7 @@
     classes: tuple[JobClass, ...]
     siblings: int = 1  # dispatchers that send to the same workers, this one included; at least 1
     zone: str = ""
+    by_work: bool = False  # worth is for each unit of a request's work, not for each request
     tenants: tuple[Tenant, ...] = ()
     over_share_worth: float = 1.0  # share of the worth that a request over its tenant's quota earns
     must_subscribe: bool = False  # the list comes only when asked for
@@ -298,4 +299,11 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | Subscribe | SetTimer | Record
+@dataclass(slots=True)
+class Close:
+    """Close own idle connections to a worker: what is sent next shows whether it can be reached."""
+
+    worker: str
+
+
+Action = Send | Refuse | Fail | Cancel | Probe | Subscribe | SetTimer | Record | Close
--- a/oxbowyard/simhost.py
+++ b/oxbowyard/simhost.py
@@ -58,6 +58,8 @@
             line = ["abandon", who, id_, attempt]
         case api.Probe(worker=worker):
             line = ["soundOut", who, worker]
+        case api.Close(worker=worker):
+            line = ["close", who, worker]
         case api.Subscribe():
             line = ["follow", who, True]
         case api.Record(text=text):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -152,7 +152,8 @@
     dear = fw.JobClass("dear", aim=400, deadline=5000, repeat=fw.Repeat.FREE, worth=5)
     cheap = fw.JobClass("cheap", aim=400, deadline=5000, worth=1)
     d = make(classes=(dear, cheap))
-    d.holds = {"dear": (50, 200.0), "cheap": (50, 1000.0)}
+    d.holds.add("dear", 200.0)
+    d.holds.add("cheap", 1000.0)
     assert d._patience(dear) > dear.aim * 0.5 > d._patience(cheap)
 
 
@@ -359,10 +360,10 @@
     d = make(20)
     ask(d, 1, "r")
     key = d.keys[("k", None)]
-    before = list(key.order)
+    before = list(key.order.items)
     d.handle(2, fw.WorkerList(fw.Scope.CHANGES, (fw.WorkerInfo("new", kind="std"),)))
-    assert [w for w in d._order(key, None) if w.name != "new"] == before and len(key.order) == 21
-    assert key.places == sorted(key.places)
+    assert [w for w in d._order(key, None) if w.name != "new"] == before and len(key.order.items) == 21
+    assert key.order.places == sorted(key.order.places)
 
 
 def test_larger_and_faster_workers_get_more_keys() -> None:
@@ -375,7 +376,7 @@
     homes = []
     for i in range(400):
         ask(d, 2, f"r{i}", key=f"k{i}")
-        homes.append(d.keys[(f"k{i}", None)].order[0].kind)
+        homes.append(d.keys[(f"k{i}", None)].order.items[0].kind)
     assert 0.55 < homes.count("fast") / 400 < 0.78
 
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -95,7 +95,7 @@
 
 def test_what_cannot_get_its_turn_in_time_is_refused_at_once() -> None:
     d = make()
-    d.holds = {"order": (50, 2000.0)}
+    d.holds.add("order", 2000.0)
     ask(d, 1, "a")
     (answer,) = ask(d, 2, "b")
     assert isinstance(answer, fw.Refuse) and answer.id == "b"
