Workers that fail in part: a class turned away, jobs lost, standing still, connects refused

A trace of each refusal with the ranks of all workers shows four causes. (1) A third of the workers answers permiso with a 503 after 311 ms while it serves the rest: `_learn` took it for a full queue, `_seen` for a wait, and a third of consulta was refused. (2) A worker that swallowed a permiso and serves the rest: the lost one counted as its queue for 12 s, and all jobs of its keys were refused beside idle workers. (3) The home of a key stood still and stayed its home. (4) One connect refused (reset) made a worker cold for 8.5 s everywhere. Ruled out: capacity (six workers idle at refusals), the watch (its list was right), CPU (0.29 s a second), hedging less on refused connects with other fetches out (no difference).

Lines at fault: `_learn` (FULL), `_seen` (oldest waiting), `_usable`, `_praise`; queueOrder was not read.

--- a/oxbowyard/decision/books.py
+++ b/oxbowyard/decision/books.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from bisect import bisect
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -115,3 +116,26 @@
     def clear(self) -> None:
         """Begin anew."""
         self.items, self.places, self.taken = [], [], 0
+
+
+@dataclass(slots=True)
+class Quota:
+    """What a tenant may send a second, what it saved up, and its rate of late."""
+
+    quota: float
+    fill: float  # its quota, and more where few requests come: by chance they exceed it often
+    most: float  # it may save up so many
+    rate_ms: float  # its rate is averaged over this time
+    tokens: float
+    rate: float = 0.0
+    filled: float = 0.0
+
+    def over(self, now: float, part: float) -> bool:
+        """Take one request in; whether it is over the quota, filled up `part` times as fast as usual."""
+        past = now - self.filled
+        self.filled = now
+        self.rate += (1000 / self.rate_ms) - self.rate * -math.expm1(-past / self.rate_ms)
+        self.tokens = min(self.tokens + past * self.fill * part / 1000, self.most)
+        over = self.tokens < 1
+        self.tokens -= 0 if over else 1
+        return over
--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -12,10 +12,10 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from itertools import chain
+from itertools import chain, takewhile
 
 from . import interface as fw
-from .books import Contrast, Latest, Means, Order, digest
+from .books import Contrast, Latest, Means, Order, Quota, digest
 from .interface import JobClass, Outcome, Repeat, Request, Result
 
 TICK, RENEW = 0, 1  # timer tags
@@ -79,6 +79,9 @@
     strikes: float = 0.0
     barred_until: float = 0.0
     unreachable: bool = False
+    down_at: float = 0.0  # since when
+    heard_at: float = 0.0  # a job began or ended there last
+    trial_at: float = 0.0  # it seems to stand still: when a job may try it next
     faults: dict[JobClass, tuple[float, float]] = field(default_factory=dict)  # strikes, barred until
     sends: deque[float] = field(default_factory=deque)  # while cold
     window: int = -1  # while cold: the one that `allowed` holds for
@@ -142,17 +145,6 @@
     line: _Line | None = None
 
 
-@dataclass(slots=True, eq=False)
-class _Account:
-    """A tenant: its quota here, what it sends, and what it may still send at once."""
-
-    quota: float
-    fill: float  # its quota, and more where few requests come: by chance they exceed it often
-    tokens: float
-    rate: float = 0.0
-    filled: float = 0.0
-
-
 def _place(key: int, w: _Worker) -> float:
     """A worker's place in a key's rendezvous order, alike at every dispatcher: its share of
     the keys is its weight over the pace of its kind."""
@@ -194,6 +186,10 @@
 LONE_RESET = 0.5  # strikes
 SWALLOWED = 0.5  # one that never started may have waited: counts less, the more own traffic shows of queues
 BAR_SPREAD = 0.5  # of a bar's length is left to chance, where peers bar a worker at the same moment
+STANDS, STANDS_LEAST_MS = 2.0, 300.0  # a worker stands still: in mean times in a slot, of so much at least
+TRIAL, TRIAL_MS = -1.0, 1000.0  # the rank of a trial there; one in this time, and it may move on
+IN_STEP_MS, SWALLOWED_ONCE = 30.0, 4.0  # jobs sent so close may change places; strikes for such a job lost
+RESTART_MS = 1000.0  # no process is back sooner
 FAULT_MOST_MS, DOUBT = 30000.0, 0.75  # longest bar for a class; share of barred workers that is not believed
 
 PACE_MS, PACE_JOBS, PACE_LUCK = 5000.0, 2.0, 1.5  # pace at a worker: over which time, prior, left to chance
@@ -254,7 +250,10 @@
         self.tick_ms = settings.connect_timeout / TICKS_A_TIMEOUT
         self.part = 1.0  # this dispatcher's traffic over the mean dispatcher's
         quotas = {t.name: t.quota / settings.siblings for t in settings.tenants if t.quota}
-        self.accounts = {k: _Account(q, q + math.sqrt(q / QUOTA_SPARE_S), q) for k, q in quotas.items()}
+        self.accounts = {
+            k: Quota(q, q + math.sqrt(q / QUOTA_SPARE_S), QUOTA_BURST_S * q + QUOTA_JOBS, RATE_MS, q)
+            for k, q in quotas.items()
+        }
         self.handlers = {
             Request: self._on_request, fw.Started: self._on_started, fw.AnswerBegan: self._on_stream,
             Outcome: self._on_outcome, fw.ClientGone: self._on_gone, fw.WorkerList: self._on_list,
@@ -286,7 +285,8 @@
         self.keys[place] = key
         self._take_stock(now)
         key.heat, key.heat_at = key.heat * math.exp((key.heat_at - now) / HEAT_MS) + 1, now
-        excess = self._over_quota(e.tenant, now)
+        account = self.accounts.get(e.tenant or "")
+        excess = account is not None and account.over(now, self.part)
         if e.time_left <= 0:
             self.out.append(fw.Refuse(e.id))
             return
@@ -297,9 +297,14 @@
             job.line.jobs[job] = None
         self._place(job, now)
 
-    def _order(self, key: _Key, kind: str | None) -> list[_Worker]:
-        """The key's workers in rendezvous order, gone ones too: a list change costs what it changes."""
-        return key.order.upto(self.named, lambda w: _place(key.salt, w) if kind in (None, w.kind) else None)
+    def _order(self, key: _Key, kind: str | None) -> Iterable[_Worker]:
+        """The key's workers in rendezvous order, gone ones too: a list change costs what it changes. A key
+        that needs a worker in each zone anyhow has one set a zone: fewer requests cross."""
+        order = key.order.upto(self.named, lambda w: _place(key.salt, w) if kind in (None, w.kind) else None)
+        zone, hot = self.settings.zone, key.heat * len(self.ready) > LOCAL * self.zones * self.heat
+        if self.sparse or not hot or key.heat < LOCAL_SEEN:
+            return order
+        return chain((w for w in order if w.zone == zone), (w for w in order if w.zone != zone))
 
     def _rank(self, w: _Worker, cls: JobClass, now: float) -> float:
         """Load over slots. Peers are taken to load a worker as this dispatcher does on average, and what
@@ -311,7 +316,7 @@
             load = max(load, slots + len(w.waiting) + seen * slots / pool.hold)
         if self.connect > QUEUED_SHARE * pool.hold > 0 and not self._connected(w, now):
             load = max(load, slots) + self.connect * slots / pool.hold
-        rank = (load + 1) / (slots * self._warmth(w, now))
+        rank = (load + 1) / (slots * self.warmth(w, now))
         if (slow := self._slowness(w, now)) > 1 and pool.hold:
             rank += (slow - 1) * self.holds.of(cls.name, pool.hold) / pool.hold
         if cls.repeat is Repeat.SINGLE_SHOT and w.doubt:
@@ -328,14 +333,12 @@
         """So many jobs of its class would have ended in the time that this one has run."""
         w = attempt.worker
         mean = self.holds.of(attempt.job.cls.name, math.inf) * w.pool.pace
-        return min((now - attempt.started) * self._warmth(w, now) / max(mean, 1.0), OUTLIER)
+        return min((now - attempt.started) * self.warmth(w, now) / max(mean, 1.0), OUTLIER)
 
     def _connected(self, w: _Worker, now: float) -> bool:
-        if w.pool.private:  # it connected to us
-            return True
         if now - w.used_at >= self.settings.connect_idle:
             w.connections = w.count
-        return w.count < w.connections
+        return w.pool.private or w.count < w.connections  # a private one connected to us
 
     def _load(self, w: _Worker, now: float) -> float:
         """Own jobs there and the peers', who are taken to load a worker as this dispatcher does on average,
@@ -344,7 +347,7 @@
             return w.count
         mean = self._mean(w, now)
         peers = self.settings.siblings - 1
-        usual = peers * self.fleet * self._warmth(w, now)  # peers spare a cold worker too
+        usual = peers * self.fleet * self.warmth(w, now)  # peers spare a cold worker too
         if w.pool.jobs:  # a report is soon as old as the jobs it counted
             told = (w.jobs - w.pool.jobs) * math.exp((w.jobs_at - now) / (w.pool.hold or MEAN_MS))
             if now - w.told_at < TOLD_MS:
@@ -361,8 +364,7 @@
         self.heat = self.heat * math.exp(-past / HEAT_MS) + 1
         self.connect *= math.exp(-past / CONNECT_FADES_MS)
         self.prior = PRIOR_JOBS / (known + PRIOR_JOBS)
-        self.blind = self.prior * (1 - 1 / self.settings.siblings)
-        self.blind *= TOLD_HIDES if self.told else 1.0
+        self.blind = self.prior * (1 - 1 / self.settings.siblings) * (TOLD_HIDES if self.told else 1.0)
         self._learn_part()
 
     def _seen(self, w: _Worker, now: float) -> float:
@@ -371,7 +373,7 @@
         usual = pool.wait * self.blind
         if now - w.told_at < TOLD_MS and pool.hold:
             over = max(self._load(w, now) - pool.slots, 0.0)
-            usual = over * pool.hold / (pool.slots * self._warmth(w, now))
+            usual = over * pool.hold / (pool.slots * self.warmth(w, now))
         seen = usual + (w.delay - usual) * math.exp((w.delay_at - now) / DELAY_FADES_MS)
         if w.waiting:
             seen = max(seen, now - next(iter(w.waiting)).sent - 2 * w.base)
@@ -393,10 +395,13 @@
         affinity = max(W1_AIM_SHARE * job.cls.aim, self.fetching.more)  # may cost so much waiting
         first = (key.salt ^ self.salt) % key.size  # dispatchers look at different parts of a wide set
         scan = 2 + round(SCAN * (1 - self.blind))
-        for w in self._near_first(key, self._order(key, job.cls.kind)):
-            if not w.ready or w in job.tried or not self._usable(w, job, now):
+        for w in self._order(key, job.cls.kind):
+            if not self._usable(w, job, now):
                 continue
             members += 1
+            if members <= key.size and self._stands(w, now):
+                w.trial_at = now + TRIAL_MS
+                return w, TRIAL
             if members > key.size:
                 others.append(w)
                 if len(others) == scan:
@@ -417,19 +422,10 @@
             return spill, spill_rank
         return best, best_rank
 
-    def _near_first(self, key: _Key, order: list[_Worker]) -> Iterable[_Worker]:
-        """A key that needs a worker in each zone anyhow has one set a zone: fewer requests cross."""
-        zone, hot = self.settings.zone, key.heat * len(self.ready) > LOCAL * self.zones * self.heat
-        if self.sparse or not hot or key.heat < LOCAL_SEEN:
-            return order
-        return chain((w for w in order if w.zone == zone), (w for w in order if w.zone != zone))
-
     def _elsewhere(self, job: _Job, now: float) -> list[_Worker]:
         """Lately good workers and some at random, so that dispatchers do not all spill to the same."""
         more = [*self.good, *self.random.sample(self.ready, min(LUCK, len(self.ready)))]
-        kind = job.cls.kind
-        fit = (w for w in more if w.ready and kind in (None, w.kind) and w not in job.tried)
-        return [w for w in fit if self._usable(w, job, now)]
+        return [w for w in more if job.cls.kind in (None, w.kind) and self._usable(w, job, now)]
 
     def _resize(self, key: _Key, now: float) -> None:
         """Widen an overloaded key's set, narrow it as loads even out. Where own traffic shows little, a key's
@@ -492,6 +488,9 @@
         w.waiting.pop(attempt, None)
         self.unstarted.pop(attempt, None)
         w.running[attempt] = None
+        w.heard_at = now
+        if self.settings.in_turn:
+            self._swallowed(attempt, now)
         attempt.found = w.kept.meet(job.key.salt, w.pool.most)  # it is taken to keep as many as it runs
         w.pool.most = max(w.pool.most, len(w.running))
         w.base = min(w.base, now - attempt.sent)
@@ -520,7 +519,7 @@
         risky = job.cls.repeat is Repeat.SINGLE_SHOT and not w.unreachable
         barred = w.strikes >= 1 and (now < w.barred_until or w.count or risky)
         gone = self.sparse and w.unreachable and now < w.barred_until  # it turned a connect down: no guess
-        if not w.ready or gone or barred and w.pool.sick * 2 < w.pool.ready:
+        if not w.ready or w in job.tried or gone or barred and w.pool.sick * 2 < w.pool.ready:
             return False
         if w.classes is not None and job.cls.name not in w.classes:
             return False
@@ -528,8 +527,27 @@
             return False
         if now < w.since + self.settings.ramp and not self._cold_room(w, now):
             return False
+        movable = job.cls.repeat is Repeat.FREE and self.settings.may_cancel and not job.attempts
+        if self._stands(w, now) and (now < w.trial_at or not movable):
+            return False
         return self._group_allows(job, w, now)
 
+    def _stands(self, w: _Worker, now: float) -> bool:
+        """Nothing began or ended there since a job came that should have begun long ago."""
+        since = max(next(iter(w.waiting)).sent, w.heard_at) if w.waiting else math.inf
+        return now - since > STANDS * max(w.pool.hold, STANDS_LEAST_MS)
+
+    def _swallowed(self, attempt: _Attempt, now: float) -> None:
+        """It waits where a later one began: where jobs begin in order it was lost, and others may be too."""
+        for old in list(attempt.worker.waiting):
+            if old.sent >= attempt.sent - IN_STEP_MS:
+                break
+            del attempt.worker.waiting[old]
+            if not old.cancelled:
+                once = old.job.cls.repeat is Repeat.SINGLE_SHOT
+                self._fault(old.worker, old.job.cls, now, SWALLOWED_ONCE if once else 1.0)
+                self._doubt(old.worker, SWALLOWED, now)
+
     def _fault(self, w: _Worker, cls: JobClass, now: float, strikes: float) -> None:
         """A worker may fail or swallow one class and serve the rest. It is barred for that class, longer than
         own sends to a worker lie apart: few are lost on trials. If most workers look so, it is the jobs."""
@@ -558,13 +576,14 @@
             was = w.strikes >= 1
             w.strikes = 0.0 if w.unreachable else max(w.strikes - 0.5, 0.0)
             w.pool.sick += (w.strikes >= 1) - was
-            if w.unreachable:  # back after silence: presumed cold from now
-                w.unreachable = False
+            if w.unreachable and now - w.down_at > RESTART_MS:  # back after silence: presumed cold from now
                 w.since = max(w.since, now)
+            w.unreachable = False
 
     # ---- Cold budget ----
 
-    def _warmth(self, w: _Worker, now: float) -> float:
+    def warmth(self, w: _Worker, now: float) -> float:
+        """The share of its capacity that a worker has by now."""
         s = self.settings
         if w.since <= 0 or now - w.since >= s.ramp:
             return 1.0
@@ -572,7 +591,7 @@
 
     def _cold_room(self, w: _Worker, now: float) -> bool:
         s = self.settings
-        warmth = self._warmth(w, now)
+        warmth = self.warmth(w, now)
         if warmth >= 1:
             return True
         window = int((now + self.phase) / s.tip_after)
@@ -646,6 +665,7 @@
         if attempt.started < 0 and (result is Result.TIMEOUT or result is Result.CANCELLED):
             self._fault(w, attempt.job.cls, now, min(2 * self.blind**2, SWALLOWED))
             self._doubt(w, DOUBT_UNSTARTED, now)
+        w.heard_at = now if result in (Result.OK, Result.ERROR, Result.FULL) else w.heard_at
         if attempt.started >= 0:
             fade = math.exp((w.paced_at - now) / PACE_MS)
             w.due, w.done = w.due * fade + self._due(attempt, now), w.done * fade + (result is Result.OK)
@@ -662,13 +682,16 @@
         elif result is Result.UNREACHABLE or result is Result.RESET:
             w.connections = 0
             if result is Result.UNREACHABLE:  # a dead process turns connects down at once: not merely slow
-                w.unreachable = w.unreachable or e.duration < self.settings.connect_timeout / 2
+                if not w.unreachable and e.duration < self.settings.connect_timeout / 2:
+                    w.unreachable, w.down_at = True, now
                 self.connect += (2 * e.duration - self.connect) / CONNECT_SAMPLES  # it takes another try
             # A dead process resets all its connections: one reset among others that hold is the connection's.
             self._strike(w, LONE_RESET if result is Result.RESET and w.count else 1.0, now)
         elif result is Result.ERROR:
             self._fault(w, attempt.job.cls, now, 1.0)
             self._doubt(w, 1.0, now)
+        elif result is Result.FULL and attempt.load < w.pool.slots:
+            self._fault(w, attempt.job.cls, now, 1.0)  # with slots free it is the class that it turns away
         elif result is Result.FULL:
             w.delay, w.delay_at = w.pool.hold, now
         if "free_slots" in e.load:
@@ -720,12 +743,8 @@
 
     def _turn_too_late(self, job: _Job, line: _Line, now: float) -> bool:
         """A mean job that starts later than this misses its aim: better refused while a new try may help."""
-        wait = max(line.rests_until - now, 0.0)
-        for other in line.jobs:
-            if other is job:
-                break
-            wait += self.holds.of(other.cls.name)
-        cls = job.cls
+        ahead, cls = takewhile(lambda other: other is not job, line.jobs), job.cls
+        wait = max(line.rests_until - now, 0.0) + sum(self.holds.of(other.cls.name) for other in ahead)
         hold = self.holds.of(cls.name)
         return now - job.born + wait > cls.aim + max(cls.stretch - 1, 0.0) * hold
 
@@ -741,19 +760,6 @@
 
     # ---- Admission ----
 
-    def _over_quota(self, tenant: str | None, now: float) -> bool:
-        account = self.accounts.get(tenant or "")
-        if account is None:
-            return False
-        past = now - account.filled
-        account.filled = now
-        account.rate += (1000 / RATE_MS) - account.rate * -math.expm1(-past / RATE_MS)
-        refill = past * account.fill * self.part / 1000
-        account.tokens = min(account.tokens + refill, QUOTA_BURST_S * account.quota + QUOTA_JOBS)
-        over = account.tokens < 1
-        account.tokens -= 0 if over else 1
-        return over
-
     def _learn_part(self) -> None:
         """Dispatchers do not get equal traffic: the median tenant is taken to send what it may, here too."""
         if len(self.accounts) >= FEW_TENANTS and self.settings.siblings > 1:
@@ -761,6 +767,8 @@
             self.part = min(max(ratios[len(ratios) // 2], 1.0), PART_MOST)
 
     def _hopeless(self, job: _Job, w: _Worker, rank: float, now: float, more: float = 0.0) -> bool:
+        if rank is TRIAL:
+            return False
         if job.excess and rank + self.blind**2 / math.sqrt(w.pool.slots) >= W2:  # it may rank higher
             return True
         own = (w.count + 1 - w.pool.slots) * w.pool.hold / w.pool.slots
@@ -857,14 +865,6 @@
         for key in self.keys.values():
             key.order.clear()
 
-    def capacity(self, job_class: str, now: float) -> tuple[int, float, bool]:
-        """Ready workers for a class, the load they take before jobs wait, and whether no peer sends there."""
-        kind = self.classes.get(job_class, self.unknown).kind
-        fit = [w for w in self.ready if kind in (None, w.kind)]
-        fit = [w for w in fit if w.classes is None or job_class in w.classes]
-        slots = sum(w.pool.slots * self._warmth(w, now) for w in fit)
-        return len(fit), slots, all(w.pool.private for w in fit)
-
     def _new_worker(self, info: fw.WorkerInfo) -> _Worker:
         slots = info.slots or CAUTIOUS_SLOTS
         pool = self.pools.setdefault(info.kind, _Pool(slots, slots, slots, info.private))
--- a/oxbowyard/decision/facade.py
+++ b/oxbowyard/decision/facade.py
@@ -157,8 +157,13 @@
     def capacity(self, job_class: str) -> Capacity:
         """What the ready backends for a class can do at once. It walks them: for callers that pace, not for
         each req."""
-        count, slots, private = self._dispatcher.capacity(job_class, max(self._last, self._clock()))
-        return Capacity(count, slots if private else slots / self._siblings, private)
+        dispatcher, now = self._dispatcher, max(self._last, self._clock())
+        kind = dispatcher.classes.get(job_class, dispatcher.unknown).kind
+        fit = [w for w in dispatcher.ready if kind in (None, w.kind)]
+        fit = [w for w in fit if w.classes is None or job_class in w.classes]
+        slots = sum(w.pool.slots * dispatcher.warmth(w, now) for w in fit)
+        private = all(w.pool.private for w in fit)
+        return Capacity(len(fit), slots if private else slots / self._siblings, private)
 
     def pick(self, req: Ask) -> Turn:
         """Decide about a new req: fetch, refuse, fail or hold."""
--- a/oxbowyard/decision/facts.py
+++ b/oxbowyard/decision/facts.py
@@ -80,6 +80,7 @@
         must_subscribe=facts.get("discovery") == "ask",
         live_weights=facts.get("weights") == "live",
         tells_start=bool(family.get("tellsStart")),
+        in_turn=family.get("queueOrder") == "fifo",
         progress_every=family.get("progress") or 0.0,
         may_probe=bool(limits.get("probes")) and report.get("via") == "pull",
         may_cancel=bool(limits.get("mayCancel")),
--- a/oxbowyard/decision/interface.py
+++ b/oxbowyard/decision/interface.py
@@ -90,6 +90,7 @@
     must_subscribe: bool = False  # the list comes only when asked for
     live_weights: bool = False  # a worker's weight is its size, lowered the more jobs it holds
     tells_start: bool = False  # workers send Started
+    in_turn: bool = False  # a worker begins its waiting jobs in the order in which they came
     progress_every: float = 0.0  # workers send Progress this often; 0: never
     may_probe: bool = False
     may_cancel: bool = False
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -212,9 +212,9 @@
     w = d.workers["w0"]
     ask(d, 1, "r")
     d.handle(5, fw.Outcome("r", 0, "w0", fw.Result.UNREACHABLE, 4))
-    assert w.unreachable and d._warmth(w, 6) == 1
+    assert w.unreachable and d.warmth(w, 6) == 1
     d._praise(w, 5000)
-    assert d._warmth(w, 5001) < 0.2 and not w.unreachable
+    assert d.warmth(w, 5001) < 0.2 and not w.unreachable
 
 
 def test_restarts_and_removals_keep_the_counts_right() -> None:
--- a/tests/test_data_kept.py
+++ b/tests/test_data_kept.py
@@ -82,7 +82,7 @@
                 run(d, 300.0 * i, f"r{i}")
             assert d.workers[run(d, 9500.0, "last")].zone == zone
             key = d.keys["k", None]
-            agreed.add(next(iter(d._near_first(key, d._order(key, None)))).name)
+            agreed.add(next(iter(d._order(key, None))).name)
         assert len(agreed) == 1  # schedulers of a zone agree
 
 
