--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -690,7 +690,7 @@
         elif result is Result.ERROR:
             self._fault(w, attempt.job.cls, now, 1.0)
             self._doubt(w, 1.0, now)
-        elif result is Result.FULL and attempt.load < w.pool.slots:
+        elif result is Result.FULL and attempt.load < w.pool.slots and not w.pool.private:
             self._fault(w, attempt.job.cls, now, 1.0)  # with slots free it is the class that it turns away
         elif result is Result.FULL:
             w.delay, w.delay_at = w.pool.hold, now
