--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -96,7 +96,7 @@
         self.scheduler = Scheduler(settings, facade, transport, clock, self.measure, limits)
         self.director = Director(
             config.discovery, self.roster, self.scheduler.learn, on_settled,
-            CallPace(settings.must_subscribe, settings.siblings, Random(config.seed)),
+            CallPace(settings.must_subscribe, settings.siblings, Random(config.seed), settings.ask_every),
         )  # fmt: skip
         self.waiting: WaitingRoom | None = None
         if waiting is not None:
--- a/oxbowyard/decision/facts.py
+++ b/oxbowyard/decision/facts.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from . import interface as api
@@ -78,6 +79,7 @@
         tenants=tuple(api.Tenant(a["name"], a.get("quotaPerS") or 0.0) for a in facts.get("accounts") or []),
         over_share_worth=facts.get("overShareWorth", 1.0),
         must_subscribe=facts.get("discovery") == "ask",
+        ask_every=rules.get("askEvery") or math.inf,
         live_weights=facts.get("weights") == "live",
         tells_start=bool(family.get("tellsStart")),
         in_turn=family.get("queueOrder") == "fifo",
--- a/oxbowyard/decision/interface.py
+++ b/oxbowyard/decision/interface.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -88,6 +89,7 @@
     tenants: tuple[Tenant, ...] = ()
     over_share_worth: float = 1.0  # share of the worth that a request over its tenant's quota earns
     must_subscribe: bool = False  # the list comes only when asked for
+    ask_every: float = math.inf  # without a call for so long, what the list said then counts as told
     live_weights: bool = False  # a worker's weight is its size, lowered the more jobs it holds
     tells_start: bool = False  # workers send Started
     in_turn: bool = False  # a worker begins its waiting jobs in the order in which they came
--- a/oxbowyard/director/pace.py
+++ b/oxbowyard/director/pace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from random import Random
 
@@ -10,6 +11,10 @@
 # down once 2 s of them wait, and to work on those too that it has turned down: a few calls a second more than
 # it can serve, and it serves nobody. All schedulers together leave it a quarter of its time.
 SPACING = 0.25  # seconds that the calls of all schedulers lie apart on average
+WAIT_MS = 8000.0  # a call that was lost on the way is made again after this, not a minute later
+ANSWER_WITHIN = 1.5  # seconds past its wait that a call is given
+COMMON_WITHIN = 2.5  # the same where others may wait before it: given up sooner, it was served for nothing
+LOST_MARGIN_MS, LEAST_WAIT_MS = 500.0, 1000.0
 DOUBLINGS = 2  # of the span, after as many failures: by then the calls take up a fifth of its time
 
 
@@ -25,8 +30,21 @@
     common: bool  # one service for all schedulers, not an agent
     siblings: int
     random: Random
+    ask_every: float = math.inf  # milliseconds without a call after which all counts as told
     failures: int = 0
 
+    @property
+    def within(self) -> float:
+        """Seconds past its wait that a call is given."""
+        return COMMON_WITHIN if self.common else ANSWER_WITHIN
+
+    @property
+    def wait_ms(self) -> int:
+        """How long a watch waits: a lost one is given up before its scheduler counts as told unasked."""
+        if not self.common:
+            return int(WAIT_MS)
+        return int(min(WAIT_MS, max(self.ask_every - self.within * 1000 - LOST_MARGIN_MS, LEAST_WAIT_MS)))
+
     def first(self) -> float:
         """Seconds to wait before the first call, where a list is in hand from before."""
         return self.random.uniform(0.0, self._span) if self.common else 0.0
--- a/oxbowyard/director/watch.py
+++ b/oxbowyard/director/watch.py
@@ -17,10 +17,6 @@
 
 log = logging.getLogger("oxbowyard.director")
 
-WAIT_MS = 8000  # a call that was lost on the way is made again after this, not a minute later
-ANSWER_WITHIN = 1.5  # seconds past its wait that a call is given
-COMMON_WITHIN = 2.5  # the same where others may wait before it: given up sooner, it was served for nothing
-
 
 class _Watch:
     """The calls to one address, beginning with the whole list, or with what is newer than the one in hand."""
@@ -30,7 +26,6 @@
     ) -> None:
         self.address = address
         self._pace = pace
-        self._within = COMMON_WITHIN if pace.common else ANSWER_WITHIN
         self._base = URL(f"http://{address}/discovery/hosts")
         self._take = take
         self._rev = rev
@@ -54,10 +49,10 @@
     async def _once(self, session: aiohttp.ClientSession) -> bool:
         url, wait = self._base, 0.0
         if self._rev is not None:
-            url, wait = url.with_query(after=self._rev, wait_ms=WAIT_MS), WAIT_MS / 1000
+            url, wait = url.with_query(after=self._rev, wait_ms=self._pace.wait_ms), self._pace.wait_ms / 1000
         try:
             async with (
-                asyncio.timeout(wait + self._within),
+                asyncio.timeout(wait + self._pace.within),
                 session.get(url, allow_redirects=False) as response,
             ):
                 body = await response.read()
--- a/tests/player.py
+++ b/tests/player.py
@@ -192,7 +192,8 @@
 class Player:
     """Plays one file."""
 
-    def __init__(self, path: Path, folder: Path) -> None:
+    def __init__(self, path: Path, folder: Path, settings: str = "settings.json") -> None:
+        self.settings: dict[str, Any] = json.loads((HERE / settings).read_text())
         self.lines = iter(enumerate(path.read_text().splitlines(), 1))
         self.folder = folder
         self.peers = {name: Peer(listens=True) for name in ("d", "d2", "s1", "s2")}
@@ -241,7 +242,7 @@
             self._peer(word, what, text)
 
     def _start(self, words: list[str]) -> None:
-        settings = json.loads(json.dumps(SETTINGS))
+        settings = json.loads(json.dumps(self.settings))
         options: list[str] = []
         known: dict[str, Any] = {}
         for word in words:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -7,11 +7,15 @@
 import subprocess
 import sys
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
 from player import ROOT, SETTINGS
 
+from oxbowyard.daemon.config import load
+from oxbowyard.director.pace import CallPace
+
 GOOD: dict[str, Any] = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS}
 
 
@@ -60,3 +64,17 @@
     done = start(json.dumps(GOOD), tmp_path, "--gearman", str(tmp_path / "gearman.toml"))
     assert done.returncode != 0 and done.stderr.count("\n") == 1, done.stderr
     assert done.stderr.startswith("oxbowyard: ")
+
+
+@pytest.mark.parametrize("name", ["config.json", "config_asked.json"])
+def test_the_sample_files_can_be_used(name: str) -> None:
+    config = load({"LB_CONFIG": str(ROOT / "examples" / name)})
+    assert config.settings.by_work and config.settings.must_subscribe is (name == "config_asked.json")
+
+
+def test_a_lost_watch_is_given_up_before_all_counts_as_told() -> None:
+    """Its 8 s and the 2.5 s past them were more than the 10 s after which all counts as told."""
+    pace = CallPace(True, 3, Random(1), 10_000.0)
+    assert pace.wait_ms + pace.within * 1000 < 10_000
+    assert CallPace(True, 3, Random(1), 4_000.0).wait_ms == 1000
+    assert CallPace(False, 3, Random(1), 4_000.0).wait_ms == 8000  # an agent's list is told as it comes
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -8,8 +8,12 @@
 from player import HERE, Player
 
 FILES = sorted((HERE / "exchanges").glob("*.txt"))
+OF_ONE = "# One deployment only: "  # and why, where the exchange is about figures of its settings
 
 
+@pytest.mark.parametrize("settings", ["settings.json", "settings_asked.json"])
 @pytest.mark.parametrize("path", FILES, ids=lambda p: p.stem)
-def test_exchange(path: Path, tmp_path: Path) -> None:
-    Player(path, tmp_path).play()
+def test_exchange(path: Path, settings: str, tmp_path: Path) -> None:
+    if settings != "settings.json" and OF_ONE in path.read_text():
+        pytest.skip("about one deployment's settings")
+    Player(path, tmp_path, settings).play()
