A worker that answers 400 is not to blame: no other worker is asked, and nothing is barred there

Ruled out: the Idempotency-Key (usual clients' reqs are served), CPU, descriptors (256 of 384). `status_ending` in backends/lines.py made an error of any 4xx, and `_learn` barred the class at that worker and doubted it for what must not run twice; the req was tried at three workers.

4xx but 408, 425 and 429 are now an outcome of their own, `rejected`: given up at once, nothing learned.

--- a/oxbowyard/backends/lines.py
+++ b/oxbowyard/backends/lines.py
@@ -12,6 +12,7 @@
 
 log = logging.getLogger("oxbowyard.backends")
 
+OF_THE_BACKEND = (408, 425, 429)  # 4xx that say something of it; the others are about the req
 LAST = {"done": Result.OK, "failed": Result.ERROR, "returned": Result.FULL, "lost": Result.RESET}
 
 
@@ -48,7 +49,8 @@
         return None
     if status in (503, 504) and declined == "1":
         return Ending(Result.FULL, load=load, reason=f"declined with {status}")
-    return Ending(Result.ERROR, load=load, reason=f"status {status}")
+    result = Result.REJECTED if 400 <= status < 500 and status not in OF_THE_BACKEND else Result.ERROR
+    return Ending(result, load=load, reason=f"status {status}")
 
 
 class LineReader:
--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -655,7 +655,7 @@
         if job.out:
             return
         job.tried.append(w)
-        if e.result is Result.TIMEOUT or not self._may_try(job, now):
+        if e.result in (Result.TIMEOUT, Result.REJECTED) or not self._may_try(job, now):
             self._give_up(job, now)
         else:
             self._place(job, now)
--- a/oxbowyard/decision/interface.py
+++ b/oxbowyard/decision/interface.py
@@ -44,6 +44,7 @@
 
     OK = "ok"
     ERROR = "error"
+    REJECTED = "rejected"  # malformed, says the worker: no other would have it, nor is this one to blame
     TIMEOUT = "timeout"
     RESET = "reset"
     CANCELLED = "cancelled"
