Membership, begun: the group's protocol without I/O, with its hard cases in virtual time

Need: schedulers share nothing, and `siblings` counts the dead; copies and a cold start need a view. SWIM with Lifeguard's local health as a state machine, messages in MessagePack that bear older and newer versions, a view that says which claim holds, and a group in virtual time (loss, delay, doubling, one-sided cuts, pauses) that tests and benchmarks share. Not wired: no sockets, no table, nothing imported by the program.

--- /dev/null
+++ b/benchmarks/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults between members, for tests and benchmarks: a network in virtual time."""
--- /dev/null
+++ b/benchmarks/faults/virtual_group.py
@@ -0,0 +1,157 @@
+"""A group in virtual time: loss, delay, doubling, cuts in one direction, pauses. One seed, one history."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from oxbowyard.membership.messages import Message, encode
+from oxbowyard.membership.protocol import Action, Group, Happened, Notice, Send
+from oxbowyard.membership.settings import GroupSettings
+
+
+@dataclass(slots=True)
+class Link:
+    """What may happen to a datagram."""
+
+    loss: float = 0.0
+    doubled: float = 0.0
+    least: float = 0.0005  # seconds on the way
+    most: float = 0.003
+
+
+@dataclass(slots=True)
+class Node:
+    """One member and what was done to it."""
+
+    name: str
+    group: Group
+    runs: bool = True
+    stopped_until: float = 0.0
+    held: list[tuple[Message, str, bool]] = field(default_factory=list)  # came while it was stopped
+    notices: list[tuple[float, Notice]] = field(default_factory=list)
+    timer: int = 0  # the latest one that was set; earlier ones are passed over
+    sent: int = 0
+    sent_bytes: int = 0
+
+
+class VirtualGroup:
+    """The members, the network between them, and the clock."""
+
+    def __init__(self, size: int, seed: int, settings: GroupSettings | None = None, zones: int = 3) -> None:
+        self.settings = settings or GroupSettings()
+        self.random = Random(seed)
+        self.now = 0.0
+        self.link = Link()
+        self.cuts: set[tuple[str, str]] = set()  # datagrams and streams from the first to the second are lost
+        self.nodes: dict[str, Node] = {}
+        self.measure_bytes = False
+        self._by_address: dict[str, Node] = {}
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._timers = count(1)
+        self.watch: Callable[[Node, Notice], None] = lambda node, notice: None
+        for i in range(size):
+            self.add(f"m{i}", f"10.0.{i >> 8}.{i & 255}:1", f"z{i % zones}", ("10.0.0.0:1", "10.0.0.1:1"))
+
+    def add(self, name: str, address: str, zone: str, seeds: tuple[str, ...]) -> Node:
+        """Start a member."""
+        run = self.random.getrandbits(48)
+        group = Group(name, run, address, zone, self.settings, Random(self.random.getrandbits(48)))
+        node = self.nodes[name] = self._by_address[address] = Node(name, group)
+        self._carry_out(node, group.start(self.now, seeds))
+        return node
+
+    def kill(self, name: str) -> Node:
+        """End a member without a word."""
+        node = self.nodes.pop(name)
+        node.runs = False
+        return node
+
+    def leave(self, name: str) -> None:
+        """End a member that says so."""
+        node = self.nodes[name]
+        self._carry_out(node, node.group.leave(self.now))
+        self.kill(name)
+
+    def stop(self, name: str, seconds: float) -> None:
+        """Stop a member as a stop signal does: what comes meanwhile waits."""
+        node = self.nodes[name]
+        node.stopped_until = self.now + seconds
+        self.at(node.stopped_until, lambda: self._continue(node))
+
+    def cut(self, one: str, other: str, both: bool = True) -> None:
+        """Lose all that goes from the first to the second."""
+        self.cuts |= {(one, other), (other, one)} if both else {(one, other)}
+
+    def at(self, when: float, do: Callable[[], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._events, (when, next(self._order), do))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0][0] <= until:
+            when, _, do = heapq.heappop(self._events)
+            self.now = max(self.now, when)
+            do()
+        self.now = until
+
+    def notices(self, what: Happened) -> Iterator[tuple[float, str, Notice]]:
+        """All notices of a kind, with when and at whom."""
+        for node in self.nodes.values():
+            yield from ((when, node.name, n) for when, n in node.notices if n.what is what)
+
+    def _continue(self, node: Node) -> None:
+        held, node.held = node.held, []
+        self._tick(node, node.timer)  # a loop runs what is due before it reads its sockets, or after
+        for message, source, stream in held:
+            self._deliver(node, message, source, stream)
+
+    def _carry_out(self, node: Node, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Notice):
+                node.notices.append((self.now, action))
+                self.watch(node, action)
+            else:
+                self._send(node, action)
+        timer = node.timer = next(self._timers)
+        self.at(max(node.group.due, self.now), lambda: self._tick(node, timer))
+
+    def _send(self, node: Node, send: Send) -> None:
+        node.sent += 1
+        if self.measure_bytes:
+            node.sent_bytes += len(encode(send.message))
+        other = self._by_address.get(send.address)
+        if other is None or (node.name, other.name) in self.cuts:
+            return
+        link, source = self.link, node.group.me.address
+        if send.stream:
+            self._send_by_stream(node, other, send.message)
+            return
+        for _ in range(1 + (self.random.random() < link.doubled)):
+            if self.random.random() >= link.loss:
+                when = self.now + self.random.uniform(link.least, link.most)
+                self.at(when, lambda: self._deliver(other, send.message, source))
+
+    def _send_by_stream(self, node: Node, other: Node, message: Message) -> None:
+        """What is lost is sent again after 0.2 s, then twice as long; over 3 s it is given up."""
+        way, again = 3 * self.random.uniform(self.link.least, self.link.most), 0.2
+        while self.random.random() < 1 - (1 - self.link.loss) ** 2:
+            way, again = way + again, again * 2
+        if way < 3.0:
+            self.at(self.now + way, lambda: self._deliver(other, message, node.group.me.address, True))
+
+    def _deliver(self, node: Node, message: Message, source: str, stream: bool = False) -> None:
+        if not node.runs:
+            return
+        if self.now < node.stopped_until:
+            node.held.append((message, source, stream))
+            return
+        self._carry_out(node, node.group.handle(self.now, message, source, stream))
+
+    def _tick(self, node: Node, timer: int) -> None:
+        if node.runs and timer == node.timer and self.now >= node.stopped_until:
+            self._carry_out(node, node.group.tick(self.now))
