--- a/benchmarks/faults/virtual_group.py
+++ b/benchmarks/faults/virtual_group.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from oxbowyard.membership.messages import Message, encode
-from oxbowyard.membership.protocol import Action, Group, Happened, Notice, Send
+from oxbowyard.membership.protocol import Action, Group, Happened, Heard, Notice, Send
 from oxbowyard.membership.settings import GroupSettings
 
 
@@ -33,6 +33,7 @@
     stopped_until: float = 0.0
     held: list[tuple[Message, str, bool]] = field(default_factory=list)  # came while it was stopped
     notices: list[tuple[float, Notice]] = field(default_factory=list)
+    heard: list[tuple[float, Heard]] = field(default_factory=list)
     timer: int = 0  # the latest one that was set; earlier ones are passed over
     sent: int = 0
     sent_bytes: int = 0
@@ -65,6 +66,15 @@
         self._carry_out(node, group.start(self.now, seeds))
         return node
 
+    def introduce(self) -> None:
+        """Let everybody know everybody, as after a long time: for groups too large to be met here."""
+        claims = [node.group.me for node in self.nodes.values()]
+        for node in self.nodes.values():
+            for claim in claims:
+                if claim.name != node.name:
+                    node.group.view.take(claim, self.now, "")
+            node.group.forget_news()
+
     def kill(self, name: str) -> Node:
         """End a member without a word."""
         node = self.nodes.pop(name)
@@ -77,6 +87,11 @@
         self._carry_out(node, node.group.leave(self.now))
         self.kill(name)
 
+    def say(self, name: str, about: str, value: float, lasts: float, **more: bool) -> None:
+        """Let a member say a note."""
+        node = self.nodes[name]
+        self._carry_out(node, node.group.say(self.now, about, value, lasts, **more))
+
     def stop(self, name: str, seconds: float) -> None:
         """Stop a member as a stop signal does: what comes meanwhile waits."""
         node = self.nodes[name]
@@ -115,6 +130,8 @@
             if isinstance(action, Notice):
                 node.notices.append((self.now, action))
                 self.watch(node, action)
+            elif isinstance(action, Heard):
+                node.heard.append((self.now, action))
             else:
                 self._send(node, action)
         timer = node.timer = next(self._timers)
--- a/oxbowyard/__main__.py
+++ b/oxbowyard/__main__.py
@@ -46,7 +46,8 @@
         raise BadConfig(" ".join(str(fault).split())) from None
     if gearman is not None and tables.gearman is not None:
         raise BadConfig(f"{operator.name} has a table [gearman], and --gearman names another file")
-    return Read(config, tables.gearman or _load_gearman(gearman, config), tables.waiting, tables.durable)
+    served = tables.gearman or _load_gearman(gearman, config)
+    return Read(config, served, tables.waiting, tables.durable, tables.membership)
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/oxbowyard/cli/app.py
+++ b/oxbowyard/cli/app.py
@@ -66,6 +66,29 @@
     raise typer.Exit(FAULTS if faults else 0)
 
 
+@app.command()
+def members(
+    door: Annotated[str | None, typer.Option(help="HOST:PORT of a scheduler's door.")] = None,
+    config: Annotated[Path | None, typer.Option(envvar="LB_CONFIG", help="Or a file that names it.")] = None,
+    json_: JsonFlag = False,
+) -> None:
+    """The group of schedulers as one of them sees it: who, in which state, since when and why."""
+    from .members import NoAnswer, fetch, lines
+
+    if door is None and config is not None:
+        try:
+            door = next((str(v.value) for v in in_force(read(config), os.environ) if v.key == "admin"), None)
+        except (Unreadable, msgspec.ValidationError) as fault:
+            _fail(f"{config}: {fault}", FAULTS)
+    if not door or door == "None":
+        _fail("no door: give --door, or a configuration that names one as admin", FAULTS)
+    try:
+        view = fetch(door)
+    except NoAnswer as fault:
+        _fail(str(fault), 1)
+    print(json.dumps(view, indent=1) if json_ else "\n".join(lines(view)))
+
+
 @config_app.command("show")
 def show(
     config: Annotated[Path | None, typer.Option(envvar="LB_CONFIG", help="The platform's file.")] = None,
--- a/oxbowyard/control/calls.py
+++ b/oxbowyard/control/calls.py
@@ -13,6 +13,7 @@
 READY = "/control/ready"
 COUNTERS = "/control/counters"
 WORKERS = "/control/scan-workers/"  # then ID/offline or ID/online
+MEMBERS = "/control/members"
 MOST_UID = 256  # characters of a backend's uid in a path; a longer one is no uid of the list
 
 
@@ -23,6 +24,7 @@
     is_ready: Callable[[], bool]
     figures: Callable[[], Mapping[str, object]]
     rotation: Rotation | None = None
+    members: Callable[[], Mapping[str, object]] | None = None  # where schedulers know each other
 
 
 class Calls:
@@ -36,6 +38,8 @@
             return _get(method) or self._ready()
         if path == COUNTERS:
             return _get(method) or Reply(200, orjson.dumps(self._sources.figures()), "application/json")
+        if path == MEMBERS and self._sources.members is not None:
+            return _get(method) or Reply(200, orjson.dumps(self._sources.members()), "application/json")
         if path.startswith(WORKERS):
             return self._worker(method, path.removeprefix(WORKERS))
         return Reply(404, b"no such call\n")
--- a/oxbowyard/control/rotation.py
+++ b/oxbowyard/control/rotation.py
@@ -74,6 +74,20 @@
         self._roster = roster
         self._learn = learn
         self._file = file
+        self.on_change: Callable[[str, bool], None] = lambda uid, out: None  # not of what `take` was told
+
+    @property
+    def by_hand(self) -> frozenset[str]:
+        """The uids out by hand now."""
+        return frozenset(self._roster.by_hand)
+
+    def take(self, uid: str, out: bool) -> None:
+        """What another scheduler was told. One that is not listed yet drains from its first listing."""
+        if out == (uid in self._roster.by_hand) or out and len(self._roster.by_hand) >= MOST_OUT:
+            return
+        self._put(uid, out, known_or_not=True)
+        if self._file is not None:
+            self._file.change(uid, out)
 
     def out(self, uid: str) -> bool:
         """Out by hand from now on; False for a uid that is not known."""
@@ -81,6 +95,7 @@
             return False
         if self._file is not None:
             self._file.change(uid, True)
+        self.on_change(uid, True)
         return True
 
     def back(self, uid: str) -> bool:
@@ -89,6 +104,7 @@
             return False
         if self._file is not None:
             self._file.change(uid, False)
+        self.on_change(uid, False)
         return True
 
     def follow(self) -> None:
@@ -97,11 +113,15 @@
             return
         for uid in named - self._roster.by_hand:
             self._put(uid, True, known_or_not=True)
+            self.on_change(uid, True)
         for uid in self._roster.by_hand - named:
             self._put(uid, False)
+            self.on_change(uid, False)
 
     def _put(self, uid: str, out: bool, known_or_not: bool = False) -> bool:
         info = self._roster.put_out(uid) if out else self._roster.put_back(uid)
+        if info is None and known_or_not and not out:
+            return True
         if info is None and known_or_not:  # not listed here yet: it drains from its first listing
             self._roster.by_hand.add(uid)
             return True
--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -26,6 +26,7 @@
     Refuse,
     Result,
     Scope,
+    Trouble,
     Turn,
     WorkerInfo,
 )
@@ -139,6 +140,18 @@
             backends = (*backends, *chain.from_iterable(others))
         self._follow(self._facade.learn(scope, backends))
 
+    def reckon(self, siblings: int) -> None:
+        """So many schedulers send to the same backends from now on."""
+        self._facade.reckon(siblings)
+
+    def troubles(self) -> list[Trouble]:
+        """Backends that own fetches show to be in trouble; it walks all of them."""
+        return self._facade.troubles()
+
+    def hear(self, troubles: tuple[Trouble, ...]) -> None:
+        """Take what other schedulers tell of backends' troubles, all that holds now."""
+        self._follow(self._facade.hear(troubles))
+
     @property
     def open_count(self) -> int:
         """Reqs taken and not yet done with."""
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -6,10 +6,11 @@
 import logging
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, replace
-from random import Random
+from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
 
 from ..backends.http import HttpBackends
+from ..control.rotation import Rotation
 from ..core.clock import steady_unix_ms
 from ..core.measure import ServiceMeasure
 from ..core.req import BackendTransport, RoutedTransport
@@ -27,6 +28,8 @@
 
 if TYPE_CHECKING:  # its libraries are there, and taken in, only where the operator's file has its table
     from ..durable.keeping import Keeping
+    from ..membership.table import MembershipSettings
+    from ..peers.part import MembershipPart
     from ..waiting.room import WaitingRoom
     from ..waiting.settings import WaitingSettings
 
@@ -68,7 +71,7 @@
             most = min(gearman.max_connections, config.sockets // 4)
             gearman = replace(gearman, max_connections=most)
         clock = steady_unix_ms()
-        self.config = config
+        self.config, self.clock = config, clock
         self.classes = frozenset(c.name for c in config.settings.classes)
         settings = _with_functions(config.settings, gearman)
         plain = measured = settings.classes
@@ -128,6 +131,10 @@
         task.add_done_callback(_chore_ended)
         self._chores.append(task)
 
+    def slots(self) -> float:
+        """Jobs that the listed backends are reckoned to run at once, of the class that most of them run."""
+        return max((self.scheduler.capacity(name).slots for name in self.classes), default=0.0)
+
     async def close(self) -> None:
         """Finish every req and job that was taken, then end all."""
         if self.waiting is not None:
@@ -148,6 +155,32 @@
         return f"service {self.measure.share:.3f}, open {open_count}, answers: {answers or 'none'}"
 
 
+def membership(
+    settings: MembershipSettings, parts: Assembly, rotation: Rotation, state: Callable[[], str]
+) -> MembershipPart:
+    """The group of schedulers as a part of the program."""
+    from ..gearman.admin import VERSION
+    from ..peers.part import MembershipPart, Offers
+
+    config, scheduler = parts.config, parts.scheduler
+    own = config.settings
+
+    def reckon(schedulers: int) -> None:
+        scheduler.reckon(schedulers)
+        parts.director.reckon(schedulers)
+
+    return MembershipPart(
+        settings,
+        Offers(
+            name=config.name, zone=own.zone, configured=own.siblings, ramp=own.ramp / 1000,
+            version=VERSION.rpartition(" ")[2], random=SystemRandom(), clock=parts.clock, state=state,
+            held=lambda: scheduler.open_count, slots=parts.slots, workers=lambda: parts.roster.listed,
+            troubles=scheduler.troubles, hear=scheduler.hear, reckon=reckon,
+            drained=lambda: rotation.by_hand, drain=rotation.take,
+        ),
+    )  # fmt: skip
+
+
 def _room(
     waiting: WaitingSettings,
     classes: Iterable[JobClass],
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -25,13 +25,16 @@
 from ..listeners.gate import Gate
 from ..succession.files import BEAT_EVERY, Marks
 from ..succession.steps import Step, Succession
-from .assembly import Assembly
+from .assembly import Assembly, membership
 from .collector import collect_when_few, spare_full_passes
 from .config import BadConfig, Config, lacks, needs_restart
+from .parts import Parts
 
 if TYPE_CHECKING:  # only where the operator's file has its table
     from ..durable.keeping import Keeping
     from ..durable.settings import DurableSettings
+    from ..membership.table import MembershipSettings
+    from ..peers.part import MembershipPart
     from ..waiting.settings import WaitingSettings
 
 log = logging.getLogger("oxbowyard.daemon")
@@ -55,6 +58,13 @@
     STOPPED = "stopped"
 
 
+# What the other schedulers are told.
+DOES = {
+    State.STARTING: "joining", State.SERVING: "serving", State.RELOADING: "serving", State.HANDING: "left",
+    State.LEAVING: "draining", State.FINISHING: "draining", State.STOPPED: "left",
+}  # fmt: skip
+
+
 @dataclass(slots=True, frozen=True)
 class Read:
     """All that was read: the platform's configuration and what the operator's files switch on."""
@@ -63,6 +73,7 @@
     gearman: GearmanConfig | None = None
     waiting: WaitingSettings | None = None
     durable: DurableSettings | None = None
+    membership: MembershipSettings | None = None
 
 
 ReadConfig = Callable[[], Read]  # raises BadConfig
@@ -94,6 +105,12 @@
         )
         hand = HandFile(Path(tempfile.gettempdir()) / f"oxbowyard-{config.name}-out-by-hand.json")
         self._rotation = Rotation(self._parts.roster, self._parts.scheduler.learn, hand)
+        self._membership: MembershipPart | None = None
+        if self._started.membership is not None:
+            self._membership = membership(
+                self._started.membership, self._parts, self._rotation, lambda: DOES[self.state]
+            )
+        self._further = Parts([self._membership] if self._membership else [])
         self._sessions = ClientSessions(
             self._parts.scheduler,
             self._parts.classes,
@@ -119,7 +136,12 @@
     def _control(self) -> Sources:
         parts = self._parts
         counted = Counted(parts.measure, parts.backends.relayed, parts.roster, self._files)
-        return Sources(self._is_ready, lambda: figures(counted, parts.scheduler.open_count), self._rotation)
+        return Sources(
+            self._is_ready,
+            lambda: figures(counted, parts.scheduler.open_count),
+            self._rotation,
+            self._membership.view if self._membership else None,
+        )
 
     async def _follow_hand(self) -> None:
         while True:
@@ -165,12 +187,15 @@
                 await self._gate.shut()
                 self._sessions.wind_down()
                 self._sessions.close_idle()
+                await self._further.hand_over()
             elif step is Step.RESUME and self.state is State.HANDING:
                 log.warning("the new process went before it took over: this one takes clients again")
                 self._sessions.wind_up()
                 self._gate = self._client_gate()
                 self._gate.open()
                 self._enter(State.SERVING)
+                await self._further.open()
+                self._further.start()
 
     def _client_gate(self) -> Gate:
         return Gate("http", self._config.host, self._config.port, self._sessions, shared=True)
@@ -182,8 +207,11 @@
             self._door.open()
         if self._parts.gearman:
             self._parts.gearman.listen()
-        self._parts.start()
         self._rotation.follow()  # before the first list: one put out before a replacement stays out
+        if self._membership is not None:
+            self._rotation.on_change = self._membership.drained
+        await self._further.open()
+        self._parts.start()
         self._parts.add_chore(self._follow_hand())
         self._parts.add_chore(self._watch_lag())
         self._parts.add_chore(self._tell())
@@ -192,6 +220,7 @@
             self._parts.add_chore(collect_when_few(lambda: room.held.jobs))
             if self._kept is not None:
                 self._parts.add_chore(self._kept.recovery(room, self._parts.deadlines).run())
+        self._further.start()
         gate.open()
         return gate
 
@@ -221,7 +250,7 @@
         self._files.accepted += 1
         config = read.config
         fixed = needs_restart(self._config, config) + self._retune(config.settings)
-        for name in ("gearman", "waiting", "durable"):
+        for name in ("gearman", "waiting", "durable", "membership"):
             if getattr(read, name) != getattr(self._started, name):
                 fixed = (*fixed, name)
         if fixed:
@@ -275,6 +304,7 @@
         if self._parts.gearman:
             self._parts.gearman.wind_down()
         await self._sessions.close(self._longest + 1.0)
+        await self._further.close()
         await self._parts.close()
         log.info("last: %s", self._parts.summary())
         if self._parts.waiting:
@@ -290,6 +320,7 @@
     async def _close(self) -> None:
         if self._door is not None:
             self._door.close()
+        await self._further.close()
         await self._parts.close()
         if self._kept is not None:
             await self._kept.close()
--- a/oxbowyard/decision/books.py
+++ b/oxbowyard/decision/books.py
@@ -71,6 +71,37 @@
         self.more = max(more, 0.0) / weights if weights else 0.0
 
 
+@dataclass(slots=True)
+class Lately:
+    """A count's mean over its time: what it was a span ago counts for a third."""
+
+    mean: float = 0.0
+    at: float = 0.0
+
+    def take(self, value: float, now: float, span: float) -> float:
+        """It was `value` since it was taken last; the mean now."""
+        if now > self.at:
+            self.mean += (value - self.mean) * -math.expm1((self.at - now) / span)
+            self.at = now
+        return self.mean
+
+
+@dataclass(slots=True)
+class Fading:
+    """A figure between 0 and 1 that fades: a third is left after a span."""
+
+    value: float = 0.0
+    at: float = 0.0
+
+    def left(self, now: float, span: float) -> float:
+        """What is left of it."""
+        return self.value * math.exp((self.at - now) / span)
+
+    def add(self, more: float, now: float, span: float) -> None:
+        """More of it, from now on."""
+        self.value, self.at = min(self.left(now, span) + more, 1.0), now
+
+
 @dataclass(slots=True)
 class Latest:
     """The items met last, so many at most."""
--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -15,7 +15,7 @@
 from itertools import chain, takewhile
 
 from . import interface as fw
-from .books import Contrast, Latest, Means, Order, Quota, digest
+from .books import Contrast, Fading, Lately, Latest, Means, Order, Quota, digest
 from .interface import JobClass, Outcome, Repeat, Request, Result
 
 TICK, RENEW = 0, 1  # timer tags
@@ -62,8 +62,7 @@
     count: int = 0  # #T: own attempts out
     running: dict[_Attempt, None] = field(default_factory=dict)  # of these, started
     waiting: dict[_Attempt, None] = field(default_factory=dict)  # the rest, oldest first
-    mean_count: float = 0.0
-    counted_at: float = 0.0
+    usual: Lately = field(default_factory=Lately)  # the same, averaged
     jobs: float = 0.0  # there, as last reported
     jobs_at: float = -math.inf
     jobs_own: int = 0  # own ones among them
@@ -74,10 +73,10 @@
     due: float = 0.0  # jobs that should have ended in the time that some took, of late
     done: float = 0.0  # and how many did
     paced_at: float = 0.0
-    doubt: float = 0.0  # of whether a job that must not run twice ends well there
-    doubt_at: float = 0.0
+    doubt: Fading = field(default_factory=Fading)  # of whether a job that must not run twice ends well there
     strikes: float = 0.0
     barred_until: float = 0.0
+    shunned: float = 0.0  # until then, for what peers tell of it
     unreachable: bool = False
     down_at: float = 0.0  # since when
     heard_at: float = 0.0  # a job began or ended there last
@@ -189,7 +188,7 @@
 STANDS, STANDS_LEAST_MS = 2.0, 300.0  # a worker stands still: in mean times in a slot, of so much at least
 TRIAL, TRIAL_MS = -1.0, 1000.0  # the rank of a trial there; one in this time, and it may move on
 IN_STEP_MS, SWALLOWED_ONCE = 30.0, 4.0  # jobs sent so close may change places; strikes for such a job lost
-RESTART_MS = 1000.0  # no process is back sooner
+RESTART_MS, SHUN_MOST = 1000.0, 0.25  # no process is back sooner; share that peers may keep jobs away from
 FAULT_MOST_MS, DOUBT = 30000.0, 0.75  # longest bar for a class; share of barred workers that is not believed
 
 PACE_MS, PACE_JOBS, PACE_LUCK = 5000.0, 2.0, 1.5  # pace at a worker: over which time, prior, left to chance
@@ -258,6 +257,7 @@
             Request: self._on_request, fw.Started: self._on_started, fw.AnswerBegan: self._on_stream,
             Outcome: self._on_outcome, fw.ClientGone: self._on_gone, fw.WorkerList: self._on_list,
             fw.TimerDue: self._on_timer, fw.Progress: lambda *_: None, fw.ProbeResult: lambda *_: None,
+            fw.Troubles: self._on_troubles,
         }  # fmt: skip
 
     def handle(self, now: float, event: fw.Event) -> list[fw.Action]:
@@ -319,8 +319,8 @@
         rank = (load + 1) / (slots * self.warmth(w, now))
         if (slow := self._slowness(w, now)) > 1 and pool.hold:
             rank += (slow - 1) * self.holds.of(cls.name, pool.hold) / pool.hold
-        if cls.repeat is Repeat.SINGLE_SHOT and w.doubt:
-            rank += DOUBT_RANK * w.doubt * math.exp((w.doubt_at - now) / DOUBT_FADES_MS)
+        if cls.repeat is Repeat.SINGLE_SHOT and w.doubt.value:
+            rank += DOUBT_RANK * w.doubt.left(now, DOUBT_FADES_MS)
         return rank
 
     def _slowness(self, w: _Worker, now: float) -> float:
@@ -345,7 +345,7 @@
         and the fewer own jobs stand behind that, the more as all workers are loaded."""
         if w.pool.private:
             return w.count
-        mean = self._mean(w, now)
+        mean = w.usual.take(w.count, now, MEAN_MS)
         peers = self.settings.siblings - 1
         usual = peers * self.fleet * self.warmth(w, now)  # peers spare a cold worker too
         if w.pool.jobs:  # a report is soon as old as the jobs it counted
@@ -379,12 +379,6 @@
             seen = max(seen, now - next(iter(w.waiting)).sent - 2 * w.base)
         return seen
 
-    def _mean(self, w: _Worker, now: float) -> float:
-        if now > w.counted_at:
-            w.mean_count += (w.count - w.mean_count) * -math.expm1((w.counted_at - now) / MEAN_MS)
-            w.counted_at = now
-        return w.mean_count
-
     def _choose(self, job: _Job, now: float) -> tuple[_Worker | None, float]:
         """The three steps of P-DACA over the usable workers: the key's set, then some others."""
         key = job.key
@@ -399,7 +393,7 @@
             if not self._usable(w, job, now):
                 continue
             members += 1
-            if members <= key.size and self._stands(w, now):
+            if members <= key.size and self.stands(w, now):
                 w.trial_at = now + TRIAL_MS
                 return w, TRIAL
             if members > key.size:
@@ -466,7 +460,7 @@
         worker.used_at = now
         job.attempts.append(attempt)
         job.out += 1
-        self._mean(worker, now)
+        worker.usual.take(worker.count, now, MEAN_MS)
         worker.count += 1
         worker.waiting[attempt] = self.unstarted[attempt] = None
         self.total += 1
@@ -519,6 +513,7 @@
         risky = job.cls.repeat is Repeat.SINGLE_SHOT and not w.unreachable
         barred = w.strikes >= 1 and (now < w.barred_until or w.count or risky)
         gone = self.sparse and w.unreachable and now < w.barred_until  # it turned a connect down: no guess
+        gone |= now < w.shunned
         if not w.ready or w in job.tried or gone or barred and w.pool.sick * 2 < w.pool.ready:
             return False
         if w.classes is not None and job.cls.name not in w.classes:
@@ -528,11 +523,11 @@
         if now < w.since + self.settings.ramp and not self._cold_room(w, now):
             return False
         movable = job.cls.repeat is Repeat.FREE and self.settings.may_cancel and not job.attempts
-        if self._stands(w, now) and (now < w.trial_at or not movable):
+        if self.stands(w, now) and (now < w.trial_at or not movable):
             return False
         return self._group_allows(job, w, now)
 
-    def _stands(self, w: _Worker, now: float) -> bool:
+    def stands(self, w: _Worker, now: float) -> bool:
         """Nothing began or ended there since a job came that should have begun long ago."""
         since = max(next(iter(w.waiting)).sent, w.heard_at) if w.waiting else math.inf
         return now - since > STANDS * max(w.pool.hold, STANDS_LEAST_MS)
@@ -546,7 +541,7 @@
             if not old.cancelled:
                 once = old.job.cls.repeat is Repeat.SINGLE_SHOT
                 self._fault(old.worker, old.job.cls, now, SWALLOWED_ONCE if once else 1.0)
-                self._doubt(old.worker, SWALLOWED, now)
+                old.worker.doubt.add(SWALLOWED, now, DOUBT_FADES_MS)
 
     def _fault(self, w: _Worker, cls: JobClass, now: float, strikes: float) -> None:
         """A worker may fail or swallow one class and serve the rest. It is barred for that class, longer than
@@ -558,10 +553,6 @@
         barred = sum(now < x.faults[cls][1] for x in self.ready if cls in x.faults)
         self.doubted[cls] = barred > DOUBT * len(self.ready)
 
-    def _doubt(self, w: _Worker, more: float, now: float) -> None:
-        w.doubt = min(w.doubt * math.exp((w.doubt_at - now) / DOUBT_FADES_MS) + more, 1.0)
-        w.doubt_at = now
-
     def _strike(self, w: _Worker, strikes: float, now: float) -> None:
         was = w.strikes >= 1
         w.strikes = min(w.strikes + strikes, 5.0)
@@ -580,6 +571,12 @@
                 w.since = max(w.since, now)
             w.unreachable = False
 
+    def _on_troubles(self, now: float, e: fw.Troubles) -> None:
+        """What peers tell keeps jobs away from a worker for a while, and never brings them sooner."""
+        for t in e.troubles if len(e.troubles) <= SHUN_MOST * len(self.ready) else ():
+            if w := self.workers.get(t.worker):
+                w.shunned, w.since = max(w.shunned, now + min(t.lasts, BAR_MOST_MS)), max(w.since, t.since)
+
     # ---- Cold budget ----
 
     def warmth(self, w: _Worker, now: float) -> float:
@@ -634,7 +631,7 @@
             return
         attempt.over = True
         w = attempt.worker
-        self._mean(w, now)
+        w.usual.take(w.count, now, MEAN_MS)
         w.count -= 1
         self.total -= 1
         job.key.count -= 1
@@ -664,7 +661,7 @@
         result = e.result
         if attempt.started < 0 and (result is Result.TIMEOUT or result is Result.CANCELLED):
             self._fault(w, attempt.job.cls, now, min(2 * self.blind**2, SWALLOWED))
-            self._doubt(w, DOUBT_UNSTARTED, now)
+            w.doubt.add(DOUBT_UNSTARTED, now, DOUBT_FADES_MS)
         w.heard_at = now if result in (Result.OK, Result.ERROR, Result.FULL) else w.heard_at
         if attempt.started >= 0:
             fade = math.exp((w.paced_at - now) / PACE_MS)
@@ -672,7 +669,7 @@
             w.paced_at = now
         if result is Result.OK:
             w.faults.pop(attempt.job.cls, None)
-            w.doubt *= DOUBT_KEPT
+            w.doubt.value *= DOUBT_KEPT
             self._praise(w, now)
             if attempt.started >= 0:
                 pool = w.pool
@@ -689,7 +686,7 @@
             self._strike(w, LONE_RESET if result is Result.RESET and w.count else 1.0, now)
         elif result is Result.ERROR:
             self._fault(w, attempt.job.cls, now, 1.0)
-            self._doubt(w, 1.0, now)
+            w.doubt.add(1.0, now, DOUBT_FADES_MS)
         elif result is Result.FULL and attempt.load < w.pool.slots and not w.pool.private:
             self._fault(w, attempt.job.cls, now, 1.0)  # with slots free it is the class that it turns away
         elif result is Result.FULL:
--- a/oxbowyard/decision/facade.py
+++ b/oxbowyard/decision/facade.py
@@ -14,15 +14,17 @@
 
 from . import interface as api
 from .choice import Dispatcher
-from .interface import Readiness, Result, Scope, WorkerInfo
+from .interface import Readiness, Result, Scope, Trouble, WorkerInfo
 
 __all__ = [
     "Ask", "Began", "Cancel", "Capacity", "Decision", "Ended", "Facade", "Fail", "Fetch", "Hold", "Left",
-    "Outcome", "Readiness", "Refuse", "Result", "Scope", "Turn", "WorkerInfo",
+    "Outcome", "Readiness", "Refuse", "Result", "Scope", "Trouble", "Turn", "WorkerInfo",
 ]  # fmt: skip
 
 log = logging.getLogger("oxbowyard.decision")
 
+STANDS_FOR = 1000.0  # milliseconds for which a worker that stands still is told to do so
+
 
 @dataclass(slots=True, frozen=True)
 class Ask:
@@ -154,6 +156,30 @@
         """Take a list, or a change of it, from the director."""
         return self._call(api.WorkerList(scope, backends))
 
+    def reckon(self, siblings: int) -> None:
+        """So many dispatchers send to the same workers from now on, this one included. Quotas, and whether
+        own traffic shows enough to go by, stay as the settings say."""
+        self._siblings = max(siblings, 1)
+        dispatcher = self._dispatcher
+        dispatcher.settings = replace(dispatcher.settings, siblings=self._siblings)
+
+    def troubles(self) -> list[Trouble]:
+        """What this dispatcher's own traffic shows of workers in trouble. It walks the ready ones."""
+        dispatcher, now = self._dispatcher, max(self._last, self._clock())
+        ramp, found = dispatcher.settings.ramp, []
+        for w in dispatcher.ready:
+            barred = w.barred_until - now if w.strikes >= 1 else 0.0
+            still = STANDS_FOR if w.waiting and dispatcher.stands(w, now) else 0.0
+            cold = w.since if 0 < w.since <= now < w.since + ramp else 0.0
+            if barred > 0 or still or cold:
+                found.append(Trouble(w.name, max(barred, still, 0.0), cold))
+        return found
+
+    def hear(self, troubles: tuple[Trouble, ...]) -> Turn:
+        """Take what peers tell of workers, all that holds now: it may spare a worker, and never the other
+        way round."""
+        return self._call(api.Troubles(troubles))
+
     def capacity(self, job_class: str) -> Capacity:
         """What the ready backends for a class can do at once. It walks them: for callers that pace, not for
         each req."""
--- a/oxbowyard/decision/interface.py
+++ b/oxbowyard/decision/interface.py
@@ -161,6 +161,22 @@
     workers: tuple[WorkerInfo, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class Trouble:
+    """A worker's, as another dispatcher found it."""
+
+    worker: str
+    lasts: float = 0.0  # it should be spared for so long yet
+    since: float = 0.0  # clock time at which it was cold, at the latest; 0: not told
+
+
+@dataclass(slots=True)
+class Troubles:
+    """All that is heard of now, in place of what was heard before; in doubt nothing of it is used."""
+
+    troubles: tuple[Trouble, ...] = ()
+
+
 @dataclass(slots=True)
 class Request:
     """A client's request: the dispatcher now owes it one final answer."""
@@ -241,6 +257,7 @@
 
 Event = (
     WorkerList | Request | Started | Progress | AnswerBegan | Outcome | ClientGone | ProbeResult | TimerDue
+    | Troubles
 )
 
 
--- a/oxbowyard/director/watch.py
+++ b/oxbowyard/director/watch.py
@@ -108,6 +108,10 @@
         self._tasks: dict[_Watch, asyncio.Task[None]] = {}
         self.ready = asyncio.Event()  # there is a list to serve by: discovery's answer, or one from before
 
+    def reckon(self, siblings: int) -> None:
+        """So many schedulers call the same discovery from now on."""
+        self._pace.siblings = max(siblings, 1)
+
     def restore(self, known: object) -> None:
         """Start from the list kept in the configuration, which may be old."""
         if known is None:
--- a/oxbowyard/membership/messages.py
+++ b/oxbowyard/membership/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import IntEnum
 
 import msgspec
@@ -14,6 +15,9 @@
 MOST_DATAGRAM = 1400  # bytes: what passes everywhere in one piece
 MOST_NAME = 128
 MOST_FACTS = 16
+MOST_ABOUT = 300  # a worker's uid and some letters
+MOST_FIGURE = 1e12
+MOST_COUNT = 1 << 52
 
 
 class State(IntEnum):
@@ -38,6 +42,18 @@
     accuser: str = ""  # of a suspicion: it counts once for each
 
 
+class Note(msgspec.Struct, frozen=True, array_like=True):
+    """A small value that a member tells the others: see notes.py."""
+
+    about: str
+    by: str
+    count: int
+    value: float
+    age: float  # seconds
+    lasts: float  # seconds from its beginning until it is over
+    common: bool = False
+
+
 class Head(msgspec.Struct, frozen=True, array_like=True):
     """Where a message comes from."""
 
@@ -55,6 +71,7 @@
     number: int
     target: str
     news: list[Claim] = []  # noqa: RUF012
+    notes: list[Note] = []  # noqa: RUF012
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -64,6 +81,7 @@
     number: int
     target: str
     news: list[Claim] = []  # noqa: RUF012
+    notes: list[Note] = []  # noqa: RUF012
 
 
 class PingFor(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -90,9 +108,17 @@
     head: Head
     wants: bool
     members: list[Claim]
+    notes: list[Note] = []  # noqa: RUF012
 
 
-Message = Ping | Ack | PingFor | Nack | Sync
+class Told(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Notes that don't wait for the next question."""
+
+    head: Head
+    notes: list[Note]
+
+
+Message = Ping | Ack | PingFor | Nack | Sync | Told
 
 
 class Malformed(ValueError):
@@ -113,6 +139,11 @@
     return len(_encoder.encode(claim))
 
 
+def note_size(note: Note) -> int:
+    """How many bytes a note adds to a message."""
+    return len(_encoder.encode(note))
+
+
 def decode(data: bytes, group: str, most_claims: int) -> Message:
     """Read a message; raises Malformed for what is cut, foreign or absurd, whoever sent it."""
     try:
@@ -131,4 +162,18 @@
             raise Malformed("absurd claim")
         if len(claim.facts) > MOST_FACTS or len(claim.zone) > MOST_NAME:
             raise Malformed("absurd claim")
+    notes: list[Note] = getattr(message, "notes", [])
+    if len(notes) > most_claims:
+        raise Malformed("too many notes")
+    if any(_absurd(note) for note in notes):
+        raise Malformed("absurd note")
     return message
+
+
+def _absurd(note: Note) -> bool:
+    if not 0 < len(note.about) <= MOST_ABOUT or not 0 < len(note.by) <= MOST_NAME:
+        return True
+    figures = (note.value, note.age, note.lasts)
+    return not all(math.isfinite(f) and 0 <= f <= MOST_FIGURE for f in figures) or not (
+        0 <= note.count <= MOST_COUNT
+    )
--- a/oxbowyard/membership/protocol.py
+++ b/oxbowyard/membership/protocol.py
@@ -17,14 +17,32 @@
 from enum import Enum
 from random import Random
 
-from .messages import VERSION, Ack, Claim, Head, Message, Nack, Ping, PingFor, State, Sync, size
+from .messages import (
+    VERSION,
+    Ack,
+    Claim,
+    Head,
+    Message,
+    Nack,
+    Note,
+    Ping,
+    PingFor,
+    State,
+    Sync,
+    Told,
+    note_size,
+    size,
+)
+from .notes import Notes
 from .settings import GroupSettings
 from .view import Member, View, Word
 
 LATE_SHARE = 0.5  # of a period: a tick that comes so late shows that this process stood still
 MOST_SAID = 1000  # conflicts remembered, so that each is said once
 ASKED_ABOUT = 2  # other suspicions that go with a question
-HEAD_BYTES = 320  # of a message besides its claims, at most
+HEAD_BYTES = 320  # of a message besides its claims and notes, at most
+AGAIN = (0.1, 0.3)  # seconds after which its first speaker says again what does not wait
+NOTES_SHARE = 0.5  # of a datagram's room is kept for notes where some are to be told
 
 
 class Happened(Enum):
@@ -60,7 +78,14 @@
     detail: str = ""
 
 
-Action = Send | Notice
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """A note that is new here; one of ours comes back as well if another member has replaced it."""
+
+    note: Note
+
+
+Action = Send | Notice | Heard
 
 
 @dataclass(slots=True)
@@ -102,12 +127,14 @@
         self._probe: _Probe | None = None
         self._relayed: dict[int, _Relayed] = {}
         self._suspicions: dict[str, float] = {}  # when it began; shifted by the time that we stood still
-        self._next_probe = self._next_exchange = 0.0
+        self._next_probe = self._next_exchange = self._next_reunion = 0.0
         self._seeds: tuple[str, ...] = ()
         self._now = 0.0
         self._due = 0.0
         self._left = False
         self._said: set[tuple[str, int]] = set()
+        self._again: list[tuple[float, Note]] = []
+        self.notes = Notes(settings.most_notes)
 
     # ---- What the owner calls ----
 
@@ -118,6 +145,7 @@
         self._now = now
         self._next_probe = now + self._random.uniform(0, self.settings.period)
         self._next_exchange = now
+        self._next_reunion = now + self.settings.reunion
         self._tell(self.me)
         self._set_due()
         return self._out
@@ -128,6 +156,27 @@
         self._raise(self.me.incarnation + 1, facts)
         return self._out
 
+    def say(
+        self,
+        now: float,
+        about: str,
+        value: float,
+        lasts: float,
+        common: bool = False,
+        at_once: bool = False,
+        count: int | None = None,
+    ) -> list[Action]:
+        """Tell the others something that is over after `lasts` seconds. A common note replaces everybody's
+        about the same; with `count` 0 only where there is none. `at_once` does not wait for questions."""
+        self._out = []
+        self._now = max(self._now, now)
+        note = self.notes.say(now, self.me.name, about, value, lasts, common, count)
+        if note is not None and at_once:
+            self._tell_at_once(note, self.me.name)
+            self._again += [(now + later, note) for later in AGAIN]
+        self._set_due()
+        return self._out
+
     def leave(self, now: float) -> list[Action]:
         """Say goodbye to some; the rest hear of it from them."""
         self._out = []
@@ -148,6 +197,11 @@
         """Members not known to be dead or gone, the suspected and this one included: in doubt the larger."""
         return self.view.live() + 1
 
+    def forget_news(self) -> None:
+        """Take all that is known to be known everywhere: for models of large groups."""
+        self._news.clear()
+        self._next_exchange = self._now + self._random.uniform(0, self.settings.exchange_every(self.live()))
+
     # ---- Time ----
 
     def tick(self, now: float) -> list[Action]:
@@ -157,6 +211,8 @@
         if late > LATE_SHARE * self.settings.period:
             self._stood_still(now, late)
         self._now = max(self._now, now)
+        self.notes.forget(now)
+        self._say_again(now)
         self._relays(now)
         self._judge_probe(now)
         self._judge_suspicions(now)
@@ -164,6 +220,8 @@
             self._begin_probe(now)
         if now >= self._next_exchange and not self._left:
             self._exchange(now)
+        if now >= self._next_reunion and not self._left:
+            self._reunite(now)
         self._set_due()
         return self._out
 
@@ -178,9 +236,10 @@
         self._worse()
 
     def _set_due(self) -> None:
-        due = [self._next_probe, self._next_exchange]
+        due = [self._next_probe, self._next_exchange, self._next_reunion]
         if self._probe is not None:
             due.append(self._probe.ends)
+        due += [when for when, _ in self._again]
         due += [self._ends(name) for name in self._suspicions]
         due += [r.forget_at if r.told else r.nack_at for r in self._relayed.values()]
         self._due = max(min(due), self._now)  # what became due by news is due now, not late
@@ -220,7 +279,8 @@
         first = [member.claim] if member.state is State.SUSPECT else []
         others = (self.view.members.get(name) for name in self._suspicions)
         first += [m.claim for m in others if m is not None and m is not member][:ASKED_ABOUT]
-        self._out.append(Send(address, Ping(self._head(), number, member.claim.name, self._news_for(first))))
+        news, notes = self._all_news_for(first)
+        self._out.append(Send(address, Ping(self._head(), number, member.claim.name, news, notes)))
 
     def _judge_probe(self, now: float) -> None:
         probe = self._probe
@@ -253,6 +313,13 @@
             ask = PingFor(self._head(), probe.number, claim.name, claim.address, self._news_for([]))
             self._out.append(Send(helper.claim.address, ask))
 
+    def _ask_suspect(self, claim: Claim) -> None:
+        """Some of all that hear of a suspicion ask its target by stream, however many they are: it hears of
+        the suspicion, and its refutation comes back with the answer, however many datagrams are lost."""
+        if self.settings.by_stream and self._random.random() * self.live() < self.settings.askers:
+            ask = Ping(self._head(), self._next_number(), claim.name, [claim])
+            self._out.append(Send(claim.address, ask, stream=True))
+
     def _relays(self, now: float) -> None:
         for number, relayed in list(self._relayed.items()):
             if not relayed.told and now >= relayed.nack_at:
@@ -288,19 +355,37 @@
         self.view.forget(now - s.forget)
         here = [m.claim.address for m in self.view if m.here]
         if here:
-            self._next_exchange = now + self._random.uniform(0.75, 1.25) * s.exchange
+            self._next_exchange = now + self._random.uniform(0.75, 1.25) * s.exchange_every(self.live())
             where = [self._random.choice(here)]
-            gone = [m.claim.address for m in self.view if m.state is State.DEAD] + list(self._seeds)
-            if gone and self._random.random() < 0.5:  # the other side of a cut may be back
-                where.append(self._random.choice(gone))
         else:
             self._next_exchange = now + self._random.uniform(0.5, 1.5) * s.period
             where = list(self._seeds)
         for address in where:
             self._out.append(Send(address, self._all(wants=True), stream=True))
 
+    def _exchange_soon(self, now: float) -> None:
+        """Some of all that hear of a new member: where many begin at once, the news of each goes out while
+        hardly anybody is there to hear it."""
+        if self._random.random() * self.live() < self.settings.askers:
+            soon = now + self._random.uniform(0.25, 0.5) * self.settings.reunion
+            self._next_exchange = min(self._next_exchange, soon)
+
+    def _reunite(self, now: float) -> None:
+        """Some of all ask one of those gone: the other side of a cut may be back. The seeds stay, however
+        long ago the dead were forgotten."""
+        s = self.settings
+        self._next_reunion = now + self._random.uniform(0.75, 1.25) * s.reunion
+        if self._random.random() * self.live() >= s.askers:
+            return
+        here = {m.claim.address for m in self.view if m.here}
+        gone = [m.claim.address for m in self.view if m.state is State.DEAD]
+        gone += [seed for seed in self._seeds if seed not in here]
+        if gone and here:
+            self._out.append(Send(self._random.choice(gone), self._all(wants=True), stream=True))
+
     def _all(self, wants: bool) -> Sync:
-        return Sync(self._head(), wants, [self.me, *(m.claim for m in self.view)])
+        members = [self.me, *(m.claim for m in self.view)]
+        return Sync(self._head(), wants, members, self.notes.all(self._now))
 
     # ---- Messages ----
 
@@ -332,6 +417,8 @@
         claims = message.members if isinstance(message, Sync) else getattr(message, "news", [])
         for claim in claims:
             self._take(claim, now, f"told by {message.head.name}")
+        for note in getattr(message, "notes", []):
+            self._hear(note, message.head.name, isinstance(message, Told), now)
         self._fill_ack()
         self._set_due()
         return self._out
@@ -341,7 +428,7 @@
         for i, action in enumerate(self._out):
             if isinstance(action, Send) and isinstance(action.message, Ack) and not action.message.news:
                 ack = action.message
-                filled = Ack(ack.head, ack.number, ack.target, self._news_for([]))
+                filled = Ack(ack.head, ack.number, ack.target, *self._all_news_for([]))
                 self._out[i] = Send(action.address, filled, action.stream)
 
     def _heard(self, head: Head, now: float) -> None:
@@ -380,6 +467,7 @@
             self._changed(claim, before, now)
         elif word is Word.CONFIRMED:
             self._tell(claim)
+            self._ask_suspect(claim)
         elif word is Word.OLD and known is not None and claim.state is State.SUSPECT:
             if known.state is State.ALIVE and known.claim.incarnation > claim.incarnation:
                 self._tell(known.claim)  # whoever says so did not hear of it
@@ -394,6 +482,7 @@
         self._tell(claim)
         if claim.state is State.SUSPECT:
             self._suspicions.setdefault(claim.name, now)
+            self._ask_suspect(claim)
         else:
             self._suspicions.pop(claim.name, None)
         what = {
@@ -402,6 +491,8 @@
                 None: Happened.JOINED, State.SUSPECT: Happened.CLEARED, State.ALIVE: None,
             }.get(before, Happened.RETURNED),
         }[claim.state]  # fmt: skip
+        if what in (Happened.JOINED, Happened.RETURNED):
+            self._exchange_soon(now)
         if what is not None:
             self._out.append(Notice(what, claim.name, claim.accuser))
 
@@ -438,9 +529,9 @@
     def _tell(self, claim: Claim) -> None:
         self._news[claim.name] = (claim, 0)
 
-    def _news_for(self, first: list[Claim]) -> list[Claim]:
+    def _news_for(self, first: list[Claim], taken: int = 0) -> list[Claim]:
         """What was told least goes first, as much as a datagram has room for."""
-        room = self.settings.most_datagram - HEAD_BYTES
+        room = self.settings.most_datagram - HEAD_BYTES - taken
         picked = list(first)
         room -= sum(size(claim) for claim in first)
         most = self.settings.times_told(self.live())
@@ -456,6 +547,33 @@
                 self._news[name] = (claim, times + 1)
         return picked
 
+    def _all_news_for(self, first: list[Claim]) -> tuple[list[Claim], list[Note]]:
+        """Claims and notes for one datagram."""
+        room = self.settings.most_datagram - HEAD_BYTES - sum(size(claim) for claim in first)
+        notes = self.notes.to_tell(self._now, int(room * NOTES_SHARE), self.settings.times_told(self.live()))
+        return self._news_for(first, sum(note_size(note) for note in notes)), notes
+
+    # ---- Notes ----
+
+    def _hear(self, note: Note, sender: str, at_once: bool, now: float) -> None:
+        if not self.notes.take(now, note):
+            return
+        self._out.append(Heard(note))
+        if at_once:
+            self._tell_at_once(note, sender)
+
+    def _tell_at_once(self, note: Note, sender: str) -> None:
+        """To some, who do the same when it is news to them; what all of them miss goes with the questions."""
+        others = [m for m in self.view if m.here and m.claim.name not in (sender, note.by)]
+        told = Told(self._head(), [note])
+        for member in self._random.sample(others, min(len(others), self.settings.at_once)):
+            self._out.append(Send(member.claim.address, told))
+
+    def _say_again(self, now: float) -> None:
+        for _, note in [again for again in self._again if again[0] <= now]:
+            self._tell_at_once(note, self.me.name)
+        self._again = [again for again in self._again if again[0] > now]
+
     def _head(self) -> Head:
         return Head(VERSION, self.settings.group, self.me.name, self.me.run, self.me.address)
 
--- a/oxbowyard/membership/settings.py
+++ b/oxbowyard/membership/settings.py
@@ -6,6 +6,9 @@
 from dataclasses import dataclass
 
 
+SMALL = 32  # members that exchange all they know as often as `exchange` says
+
+
 @dataclass(slots=True, frozen=True)
 class GroupSettings:
     """One group's. All members should have the same."""
@@ -18,11 +21,15 @@
     patience: float = 6.0  # and so many times longer while nobody else confirms it
     confirmations: int = 3
     by_stream: bool = True  # a member that did not answer is asked by a stream as well
+    askers: float = 6.0  # and by so many of all that hear of its suspicion, on average
     most_health: int = 8  # how far a member's own trouble stretches its times
     spread: float = 4.0  # news goes out so many times, times the logarithm of the group's size
     exchange: float = 30.0  # seconds between exchanges of all that is known
+    reunion: float = 5.0  # seconds between questions to one of those gone, by `askers` of all
     forget: float = 600.0  # seconds that the dead are kept
     most_members: int = 10_000
+    most_notes: int = 20_000
+    at_once: int = 8  # members told at once what does not wait; each of them tells as many
     most_datagram: int = 1200  # bytes
 
     def __post_init__(self) -> None:
@@ -44,6 +51,10 @@
         share = math.log(confirmed + 1) / math.log(self.confirmations + 1)
         return max(least, self.patience * least * (1 - share) + least * share)
 
+    def exchange_every(self, members: int) -> float:
+        """Seconds; longer as there is more to exchange: twice the members, one time more."""
+        return self.exchange * (1 + max(0, math.ceil(math.log2(max(members, 1) / SMALL))))
+
     def times_told(self, members: int) -> int:
         """How often a piece of news goes out."""
         return math.ceil(self.spread * math.log10(members + 1) + 1)
--- a/oxbowyard/membership/view.py
+++ b/oxbowyard/membership/view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from .messages import Claim, State
@@ -26,7 +26,7 @@
     claim: Claim
     since: float  # when this claim came to hold, on the clock of this process
     why: str = ""
-    accusers: set[str] = field(default_factory=set)
+    accusers: frozenset[str] = frozenset()
 
     @property
     def state(self) -> State:
@@ -63,7 +63,7 @@
                 return Word.OLD
             if len(self.members) >= self._most:
                 return Word.FULL
-            self.members[claim.name] = Member(claim, now, why, {claim.accuser} - {""})
+            self.members[claim.name] = Member(claim, now, why, _accusers(claim))
             self._live += 1
             return Word.NEW
         held = known.claim
@@ -79,14 +79,14 @@
         self._live -= known.here
         known.claim, known.since, known.why = claim, now, why
         self._live += known.here
-        known.accusers = {claim.accuser} - {""}
+        known.accusers = _accusers(claim)
         return Word.NEW
 
     def _again(self, claim: Claim, known: Member) -> Word:
         held = known.claim
         suspected = claim.state is State.SUSPECT and held.state is State.SUSPECT
         if suspected and claim.incarnation == held.incarnation and claim.accuser not in known.accusers | {""}:
-            known.accusers.add(claim.accuser)
+            known.accusers |= {claim.accuser}
             return Word.CONFIRMED
         return Word.OLD
 
@@ -96,5 +96,9 @@
             del self.members[name]
 
 
+def _accusers(claim: Claim) -> frozenset[str]:
+    return frozenset((claim.accuser,)) if claim.accuser else frozenset()
+
+
 def _two_speak(claim: Claim, known: Member) -> bool:
     return claim.state is State.ALIVE and known.here and claim.address != known.claim.address
--- a/oxbowyard/operator/file.py
+++ b/oxbowyard/operator/file.py
@@ -18,6 +18,7 @@
 from ..durable.settings import DurableSettings
 from ..gearman.config import Function, GearmanConfig
 from ..gearman.config import parse as parse_gearman
+from ..membership.table import MembershipSettings
 from ..waiting.settings import ClassSettings, WaitingSettings
 
 MOST_FILE = 1 << 20  # bytes: a file of settings has some thousand; a device or a log is none
@@ -52,6 +53,7 @@
     waiting: WaitingSettings | None = None
     durable: DurableSettings | None = None
     gearman: GearmanTable | None = None
+    membership: MembershipSettings | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,6 +63,7 @@
     waiting: WaitingSettings | None = None
     gearman: GearmanConfig | None = None
     durable: DurableSettings | None = None
+    membership: MembershipSettings | None = None
 
 
 class Faulty(ValueError):
@@ -106,7 +109,7 @@
         faults.append("durable: needs the table [waiting]")
     if faults:
         raise Faulty(path.name, faults)
-    return OperatorConfig(waiting, gearman, tables.durable)
+    return OperatorConfig(waiting, gearman, tables.durable, tables.membership)
 
 
 def _with_functions(waiting: WaitingSettings, functions: Mapping[str, Function]) -> WaitingSettings:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -343,7 +343,7 @@
     d = make(40, siblings=100)
     d.fleet, d.prior = 0.03, 0.95
     w = d.workers["w0"]
-    w.count, w.mean_count, w.counted_at = 1, 0.3, 10.0
+    w.count, w.usual.mean, w.usual.at = 1, 0.3, 10.0
     assert d._load(w, 10) < 8  # not 1 + 99 * 0.3
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from pathlib import Path
 from random import Random
 
 import msgspec
@@ -328,3 +330,49 @@
     assert decode(msgspec.msgpack.encode(newer), "oxbowyard", 64) == Ack(HEAD, 5, "a", [claim()])
     older = msgspec.msgpack.decode(encode(Ack(HEAD, 5, "a", [])))[:4]
     assert decode(msgspec.msgpack.encode(older), "oxbowyard", 64) == Ack(HEAD, 5, "a", [])
+
+
+def test_a_member_that_flaps_is_the_only_one_to_suffer() -> None:
+    """Killed and back every few seconds: the others stay, and it is a member again once it stays."""
+    group = settled(8, 3)
+    for turn in range(12):
+        node = group.kill("m3")
+        group.run(group.now + 1.5 + turn % 3)
+        group.add("m3", node.group.me.address, "z0", ("10.0.0.0:1", "10.0.0.1:1"))
+        group.run(group.now + 1.0 + turn % 2)
+    group.run(group.now + 20.0)
+    assert met(group) and deaths(group) <= {"m3"}
+
+
+def test_one_living_seed_of_many_is_enough() -> None:
+    group = settled(5, 4)
+    dead = tuple(f"10.9.9.{i}:1" for i in range(6))
+    group.add("late", "10.0.7.7:1", "z1", (*dead, "10.0.0.2:1"))
+    group.run(group.now + 5.0)
+    assert met(group)
+
+
+def test_many_that_begin_at_once_know_each_other_soon() -> None:
+    for seed in range(3):
+        group = VirtualGroup(40, seed)
+        group.run(12.0)
+        assert met(group), f"seed {seed}"
+
+
+def test_the_question_by_stream_saves_a_member_whose_datagrams_are_all_lost() -> None:
+    group = settled(8, 5)
+    group.link.loss = 0.5
+    group.run(group.now + 60.0)
+    without = VirtualGroup(8, 5, GroupSettings(askers=0.0, by_stream=False))
+    without.run(SETTLE)
+    without.link.loss = 0.5
+    without.run(without.now + 60.0)
+    assert len(list(group.notices(Happened.DIED))) * 5 < len(list(without.notices(Happened.DIED)))
+
+
+def test_nothing_goes_by_the_wall_clock() -> None:
+    root = Path(__file__).parent.parent / "oxbowyard"
+    for package in ("membership", "peers"):
+        for path in (root / package).glob("*.py"):
+            text = path.read_text()
+            assert not re.search(r"import time|datetime|time\.time\(", text), path
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -72,6 +72,14 @@
         ("[durable]\npath = 'jobs.db'", "durable: needs the table [waiting]"),
         ("[waiting]\n[durable]", "durable.path: missing"),
         ("[waiting]\n[durable]\npath = 'x'\nmax_store_bytes = 5", "durable.max_store_bytes: Expected"),
+        ("[membership]", "membership.listen: missing"),
+        ("[membership]\nlisten = 'here'", "membership.listen: Expected"),
+        ("[membership]\nlisten = 'h:0'", "membership: listen needs a port"),
+        ("[membership]\nlisten = '0.0.0.0:7946'", "membership: advertise must say where"),
+        ("[membership]\nlisten = 'h:7'\nanswer_within_s = 0.5", "membership: answer_within_s must be under"),
+        ("[membership]\nlisten = 'h:7'\nsplit_s = 5.0", "membership: split_s must not be under doubt_s"),
+        ("[membership]\nlisten = 'h:7'\nmax_members = 1", "membership.max_members: Expected"),
+        ("[membership]\nlisten = 'h:7'\nseeds = ['x']", "membership.seeds: Expected"),
         ("= 1", "line 1"),
         ("#" * (MOST_FILE + 1), "over 1048576 bytes"),
     ],
@@ -127,7 +135,7 @@
     assert not loaded & {"msgspec", "sortedcontainers", "hypothesis", "typer", "pydantic"}
     for name in (
         "waiting.policy", "waiting.room", "store", "durable", "operator", "clients.waiting",
-        "cli", "configuration", "membership",
+        "cli", "configuration", "membership", "peers",
     ):  # fmt: skip
         assert f"oxbowyard.{name}" not in told.split()
     assert "sqlite3" not in loaded
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,401 @@
+"""What schedulers make of the group: their number, troubles and drains as notes; and the order of parts."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from benchmarks.faults.virtual_group import VirtualGroup
+from oxbowyard.daemon.parts import Parts
+from oxbowyard.decision import interface as fw
+from oxbowyard.decision.choice import Dispatcher
+from oxbowyard.decision.facade import Trouble
+from oxbowyard.membership.datagrams import Datagrams
+from oxbowyard.membership.messages import MOST_DATAGRAM, Head, Malformed, Note, Told, decode, encode
+from oxbowyard.membership.notes import Notes
+from oxbowyard.membership.streams import LENGTH, Streams
+from oxbowyard.peers.count import SETTLE, LiveCount, Seen
+from oxbowyard.peers.drains import OUT, Drains
+from oxbowyard.peers.troubles import Sharing
+
+DOUBT, SPLIT = 60.0, 600.0
+
+
+def others(count: int, dead: int = 0, left: int = 0) -> list[Seen]:
+    """The first are dead, the next have left, the rest are here."""
+    return [Seen(f"m{i}", i >= dead + left, dead <= i < dead + left) for i in range(count)]
+
+
+# ---- How many ----
+
+
+def test_alone_the_configured_number_holds_until_the_view_has_settled() -> None:
+    count = LiveCount(8, DOUBT, SPLIT)
+    assert count.take(0.0, []) == 8
+    assert count.take(100.0, []) == 8, "it has met nobody: that says nothing"
+    assert count.take(101.0, others(3)) == 8
+    assert count.take(101.0 + SETTLE, others(3)) == 4
+    assert count.take(200.0, others(11)) == 12, "more than configured"
+
+
+def test_a_dead_one_counts_while_in_doubt_and_one_that_left_does_not() -> None:
+    count = LiveCount(8, DOUBT, SPLIT)
+    count.take(0.0, others(9))
+    assert count.take(20.0, others(9, dead=1)) == 10
+    assert count.take(20.0 + DOUBT - 1, others(9, dead=1)) == 10
+    assert count.take(20.0 + DOUBT, others(9, dead=1)) == 9
+    assert count.take(81.0, others(9, dead=1, left=2)) == 7
+
+
+def test_half_dead_at_once_may_be_a_cut_and_counts_for_longer() -> None:
+    count = LiveCount(8, DOUBT, SPLIT)
+    count.take(0.0, others(9))
+    for second in range(5):  # found one after the other
+        assert count.take(20.0 + second, others(9, dead=second + 1)) == 10
+    assert count.take(30.0 + DOUBT, others(9, dead=5)) == 10
+    assert count.take(25.0 + SPLIT, others(9, dead=5)) == 5
+
+
+@given(st.lists(st.tuples(st.floats(0.1, 30), st.sets(st.integers(0, 7))), max_size=40), st.integers(1, 12))
+def test_it_is_never_under_those_known_to_live_in_the_time_of_doubt(
+    steps: list[tuple[float, set[int]]], configured: int
+) -> None:
+    """Whatever the view says: whoever was seen alive within that time, and did not say goodbye, counts."""
+    count, now, seen_at = LiveCount(configured, DOUBT, SPLIT), 0.0, dict[int, float]()
+    for wait, here in steps:
+        now += wait
+        seen_at |= dict.fromkeys(here, now)
+        counted = count.take(now, [Seen(f"m{i}", i in here) for i in seen_at])
+        assert counted >= 1 + sum(now - at < DOUBT for at in seen_at.values())
+        assert counted <= max(1 + len(seen_at), configured)
+
+
+def test_the_decisions_go_by_the_new_number() -> None:
+    """A cold worker's budget is shared among the living."""
+    classes = (fw.JobClass("c", 1000.0, 10000.0),)
+    settings = fw.Settings(classes, siblings=20, cold_from=0.2, ramp=10000.0)
+
+    def allowed(siblings: int) -> int:
+        from oxbowyard.decision.facade import Facade, Scope, WorkerInfo
+
+        facade = Facade(settings, 1, lambda: 1000.0)
+        facade.reckon(siblings)
+        facade.learn(Scope.FULL, (WorkerInfo("w", online_since=500.0, slots=64),))
+        worker = facade._dispatcher.workers["w"]
+        facade._dispatcher._cold_room(worker, 1000.0)
+        return worker.allowed
+
+    assert allowed(2) >= 4 * max(allowed(20), 1)
+
+
+# ---- Workers' troubles ----
+
+
+def dispatcher(workers: int) -> Dispatcher:
+    d = Dispatcher(fw.Settings((fw.JobClass("c", 1000.0, 10000.0),), ramp=10000.0, cold_from=0.1), 1)
+    d.handle(0, fw.WorkerList(fw.Scope.FULL, tuple(fw.WorkerInfo(f"w{i}") for i in range(workers))))
+    return d
+
+
+def sent_to(d: Dispatcher, now: float, number: int) -> str:
+    actions = d.handle(now, fw.Request(f"r{number}-{now}", "c", 10000.0, key=f"k{number}"))
+    worker = next(a.worker for a in actions if isinstance(a, fw.Send))
+    d.handle(now, fw.Outcome(f"r{number}-{now}", 0, worker, fw.Result.OK, 1.0, True))
+    return worker
+
+
+def test_a_trouble_that_is_heard_of_spares_a_worker_and_fades() -> None:
+    d = dispatcher(8)
+    home = sent_to(d, 0, 1)
+    d.handle(1, fw.Troubles((fw.Trouble(home, 1000.0),)))
+    assert home not in {sent_to(d, 2, i) for i in range(200)}
+    assert sent_to(d, 1500, 1) == home
+
+
+def test_a_trouble_never_makes_a_worker_used_sooner() -> None:
+    d = dispatcher(8)
+    w = d.workers["w0"]
+    w.shunned, w.since, w.strikes, w.barred_until = 3000.0, 900.0, 1.0, 2000.0
+    d.handle(1000, fw.Troubles((fw.Trouble("w0", 5.0, 100.0),)))
+    assert (w.shunned, w.since, w.strikes, w.barred_until) == (3000.0, 900.0, 1.0, 2000.0)
+    d.handle(1000, fw.Troubles())
+    assert w.shunned == 3000.0
+
+
+def test_when_a_quarter_and_more_are_in_trouble_nothing_of_it_is_believed() -> None:
+    d = dispatcher(8)
+    d.handle(1, fw.Troubles(tuple(fw.Trouble(f"w{i}", 4000.0) for i in range(3))))
+    assert not any(w.shunned for w in d.workers.values())
+
+
+def note(about: str, by: str = "m1", count: int = 1, value: float = 0.0, age: float = 0.0, lasts: float = 1.0,
+         common: bool = False) -> Note:  # fmt: skip
+    return Note(about, by, count, value, age, lasts, common)
+
+
+def test_own_troubles_are_told_once_and_again_when_they_last_longer() -> None:
+    sharing = Sharing(ramp=10.0)
+    own = [Trouble("w1", 800.0)]
+    (say,) = sharing.to_say(0.0, own, 12, 0.0)
+    assert (say.about, say.lasts) == ("bar:w1", 0.8)
+    assert not sharing.to_say(0.1, [Trouble("w1", 700.0)], 12, 100.0)
+    assert sharing.to_say(0.2, [Trouble("w1", 4000.0)], 12, 200.0)
+    many = [Trouble(f"w{i}", 800.0) for i in range(4)]
+    assert not Sharing(10.0).to_say(0.0, many, 12, 0.0), "a third of all: the trouble is rather ours"
+
+
+def test_a_cold_start_that_is_heard_of_keeps_its_time_and_is_not_told_to_and_fro() -> None:
+    sharing = Sharing(ramp=10.0)
+    (say,) = sharing.to_say(50.0, [Trouble("w1", 0.0, 7000.0)], 12, 9000.0)
+    assert (say.value, say.lasts) == (2.0, 8.0)
+    other = Sharing(ramp=10.0)
+    assert other.hear(note(say.about, value=say.value, age=0.5, lasts=say.lasts), 100.0)
+    (heard,) = other.heard(101.0, 20000.0)
+    assert heard.since == 20000.0 - 3500.0 and heard.lasts == 0.0
+    assert not other.heard(101.0, 20000.0, [Trouble("w1", 0.0, 16300.0)]), "it is known here already"
+    assert not other.heard(108.0, 27000.0)
+
+
+def test_of_two_peers_the_longer_word_holds_and_no_note_holds_for_ever() -> None:
+    sharing = Sharing(10.0)
+    sharing.hear(note("bar:w1", "m1", lasts=1.0), 0.0)
+    sharing.hear(note("bar:w1", "m2", lasts=1e9), 0.0)
+    (heard,) = sharing.heard(0.5, 0.0)
+    assert heard.lasts == 29500.0
+    assert not sharing.heard(31.0, 0.0)
+
+
+# ---- Drains ----
+
+
+class Desk:
+    """One scheduler's drains without a group."""
+
+    def __init__(self) -> None:
+        self.said: list[tuple[str, float, float, int | None]] = []
+        self.out: set[str] = set()
+        self.drains = Drains(lambda *say: self.said.append(say), self._take, 600.0)
+
+    def _take(self, uid: str, out: bool) -> None:
+        (self.out.add if out else self.out.discard)(uid)
+
+
+def test_a_word_back_from_before_ones_own_word_out_does_not_hold() -> None:
+    """A scheduler that has just begun counts from one: its word would lose against a far older one."""
+    desk = Desk()
+    desk.drains.changed("w1", True, 100.0)
+    desk.said.clear()
+    assert desk.drains.hear(note(OUT + "w1", count=9, value=0.0, age=30.0, lasts=600.0, common=True), 101.0)
+    assert desk.said == [(OUT + "w1", 1.0, 1e9, None)]
+    assert desk.drains.hear(note(OUT + "w1", count=12, value=0.0, age=0.1, lasts=600.0, common=True), 101.0)
+    assert len(desk.said) == 1, "this one is later"
+    desk.out.add("w2")  # out since before this process: its own call is none
+    assert desk.drains.hear(note(OUT + "w2", count=9, value=0.0, age=30.0, lasts=600.0, common=True), 101.0)
+    assert len(desk.said) == 1 and not desk.out
+
+
+def test_what_was_out_before_a_restart_is_said_as_no_last_word() -> None:
+    desk = Desk()
+    desk.drains.began_with({"w2", "w1"})
+    assert [(about, count) for about, _, _, count in desk.said] == [(OUT + "w1", 0), (OUT + "w2", 0)]
+
+
+def test_a_drain_reaches_all_within_a_second_and_its_end_too() -> None:
+    for seed in range(8):
+        group = VirtualGroup(24, seed)
+        group.run(20.0)
+        group.link.loss = 0.3
+        for value in (1.0, 0.0):
+            said = group.now
+            group.say("m3", OUT + "w1", value, 1000.0, common=True, at_once=True)
+            group.run(said + 1.0)
+            for node in group.nodes.values():
+                if node.name != "m3":
+                    when = [at for at, h in node.heard if h.note.value == value and at >= said]
+                    assert when and when[0] - said < 1.0, f"seed {seed}: {node.name}"
+
+
+def test_of_two_words_said_on_both_sides_of_a_cut_one_holds_everywhere() -> None:
+    for seed in range(8):
+        group = VirtualGroup(8, seed)
+        group.run(20.0)
+        sides = [[n for n in group.nodes if int(n[1:]) % 2 == side] for side in (0, 1)]
+        for one in sides[0]:
+            for other in sides[1]:
+                group.cut(one, other)
+        group.say("m0", OUT + "w1", 1.0, 1e6, common=True, at_once=True)
+        group.run(25.0)
+        group.say("m1", OUT + "w1", 0.0, 1e6, common=True, at_once=True)
+        group.run(60.0)
+        group.cuts.clear()
+        group.run(240.0)
+        held = {tuple(n.value for n in node.group.notes.all(group.now)) for node in group.nodes.values()}
+        assert len(held) == 1, f"seed {seed}: {held}"
+
+
+def test_notes_are_over_in_time_and_bounded() -> None:
+    notes = Notes(3)
+    for i in range(5):
+        notes.say(0.0, "m0", f"bar:{i}", 0.0, 2.0 + i, False, None)
+    assert len(notes) == 3 and notes.dropped == 2
+    assert not notes.take(0.0, note("bar:x", age=5.0, lasts=5.0)), "over when it came"
+    assert {n.about for n in notes.forget(3.5)} == {"bar:0", "bar:1"}
+    assert notes.say(3.5, "m0", "bar:9", 0.0, 2.0, False, None) is not None
+    assert notes.next_over() == 4.0
+
+
+def test_notes_go_out_so_often_and_within_their_room() -> None:
+    notes = Notes(100)
+    for i in range(40):
+        notes.say(0.0, "m0", f"bar:{'x' * 40}{i}", 0.0, 5.0, False, None)
+    told: Counter[str] = Counter()
+    for _ in range(100):
+        batch = notes.to_tell(1.0, 600, 3)
+        assert len(encode(Told(Head(1, "g", "n", 1, "a:1"), batch))) < 700
+        assert all(n.age == 1.0 for n in batch)
+        told.update(n.about for n in batch)
+    assert set(told.values()) == {3} and len(told) == 40
+
+
+@pytest.mark.parametrize("bad", [
+    note(""), note("x" * 301), note("bar:w", age=-1.0), note("bar:w", lasts=float("inf")),
+    note("bar:w", value=float("nan")), note("bar:w", count=-1), note("bar:w", count=1 << 60),
+    note("bar:w", by=""),
+])  # fmt: skip
+def test_absurd_notes_are_refused(bad: Note) -> None:
+    head = Head(1, "g", "n", 1, "a:1")
+    assert decode(encode(Told(head, [note("bar:w")])), "g", 64)
+    with pytest.raises(Malformed, match="absurd note"):
+        decode(encode(Told(head, [bad])), "g", 64)
+    with pytest.raises(Malformed, match="too many notes"):
+        decode(encode(Told(head, [note("bar:w")] * 65)), "g", 64)
+
+
+# ---- Sockets ----
+
+
+def test_a_flood_rests_the_socket_and_is_over_with_its_end() -> None:
+    async def play() -> tuple[int, int, Counter[str]]:
+        got: list[bytes] = []
+        counts: Counter[str] = Counter()
+        most = 200
+        datagrams = Datagrams(("127.0.0.1", 0), most, lambda data, source: got.append(data), counts)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as flood:
+            for _ in range(5):
+                for _ in range(300):
+                    flood.sendto(b"x", datagrams.address)
+                await asyncio.sleep(0.1)
+            in_flood = len(got)
+            await asyncio.sleep(0.3)  # the buffer is empty after a while, and what comes then is read
+            while got[-1] != b"y":
+                flood.sendto(b"y", datagrams.address)
+                await asyncio.sleep(0.05)
+        datagrams.close()
+        return in_flood, len(got), counts
+
+    in_flood, _, counts = asyncio.run(play())
+    assert 10 <= in_flood <= 400, "about 0.5 s at 200 a second"
+    assert counts["rests for a flood"] >= 3
+
+
+def test_a_stream_that_says_too_much_or_nothing_is_ended() -> None:
+    async def play() -> tuple[list[bytes], Counter[str]]:
+        counts: Counter[str] = Counter()
+        streams = Streams("127.0.0.1", 2, 1000, 0.3, lambda question: question * 2, counts)
+        port = await streams.listen(0)
+        answers: list[bytes] = []
+        streams.ask(f"127.0.0.1:{port}", b"abc", answers.append)
+        while not answers:
+            await asyncio.sleep(0.01)
+        for first in (LENGTH.pack(1 << 31), b"\0", LENGTH.pack(10) + b"xy"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(first)
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await reader.readexactly(1)
+            writer.close()
+        silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(4)]
+        await asyncio.sleep(0.1)
+        assert counts["stream turned away"] == 2
+        for _, writer in silent:
+            writer.close()
+        streams.ask("127.0.0.1:1", b"abc", answers.append)
+        while not counts["question unanswered"]:
+            await asyncio.sleep(0.01)
+        await streams.close()
+        return answers, counts
+
+    answers, counts = asyncio.run(play())
+    assert answers == [b"abcabc"] and counts["frame too long"] == 1
+
+
+# ---- Parts ----
+
+
+class Piece:
+    """A part that says what happens to it."""
+
+    def __init__(self, name: str, told: list[str], fails: str = "") -> None:
+        self.name, self._told, self._fails = name, told, fails
+
+    def _did(self, what: str, fault: Callable[[], Exception] = RuntimeError) -> None:
+        self._told.append(f"{self.name} {what}")
+        if self._fails == what:
+            raise fault()
+
+    async def open(self) -> None:
+        self._did("open", OSError)
+
+    def start(self) -> None:
+        self._did("start")
+
+    async def hand_over(self) -> None:
+        self._did("hand over")
+
+    async def close(self) -> None:
+        self._did("close")
+
+
+def test_parts_begin_in_order_and_end_in_the_opposite_one() -> None:
+    async def play() -> list[str]:
+        told: list[str] = []
+        parts = Parts([Piece("a", told), Piece("b", told, "close"), Piece("c", told, "hand over")])
+        await parts.open()
+        parts.start()
+        await parts.hand_over()
+        await parts.close()
+        return told
+
+    assert asyncio.run(play()) == [
+        "a open", "b open", "c open", "a start", "b start", "c start",
+        "c hand over", "b hand over", "a hand over", "c close", "b close", "a close",
+    ]  # fmt: skip
+
+
+def test_a_part_that_cannot_be_opened_closes_those_before_it() -> None:
+    async def play() -> list[str]:
+        told: list[str] = []
+        with pytest.raises(OSError):
+            await Parts([Piece("a", told), Piece("b", told, "open"), Piece("c", told)]).open()
+        return told
+
+    assert asyncio.run(play()) == ["a open", "b open", "a close"]
+
+
+def test_a_common_word_is_the_same_whatever_the_order_it_comes_in() -> None:
+    random = Random(5)
+    words = [note(OUT + "w", f"m{i % 3}", i // 2, float(i), lasts=1e6, common=True) for i in range(12)]
+    ends = set()
+    for _ in range(50):
+        random.shuffle(words)
+        notes = Notes(10)
+        for word in words:
+            notes.take(0.0, word)
+        ends.add(tuple(notes.all(0.0)))
+    assert len(ends) == 1 and MOST_DATAGRAM > 0
