--- a/oxbowyard/membership/settings.py
+++ b/oxbowyard/membership/settings.py
@@ -5,7 +5,6 @@
 import math
 from dataclasses import dataclass
 
-
 SMALL = 32  # members that exchange all they know as often as `exchange` says
 
 
