Cold start, begun: lists by source and age, turns at the list service, a list kept on disk

Need: schedulers that begin together each ask the list service for a whole list, and serve nobody while it is down or busy.

Change: the table [start] switches on `start/`: the youngest of the disk's, a peer's and the configuration's list is served from at once, the workers of an old one taken to be cold; three schedulers ask the service, then three more a turn later, the rest ask peers (the group's streams carry questions for anything). The service's first word replaces all that. A list service of fixed capacity stands in for tests and benchmarks.

Off, `run` loads none of it.

--- a/benchmarks/faults/processes.py
+++ b/benchmarks/faults/processes.py
@@ -133,6 +133,8 @@
     config: dict[str, Any]
     relay: Thread
     table: dict[str, Any] = field(default_factory=dict)
+    tables: dict[str, dict[str, Any]] = field(default_factory=dict)  # others of the operator's file
+    kept: bool = False  # [start] keeps its list in each member's own folder
     members: dict[str, Member] = field(default_factory=dict)
     _reached: dict[str, str] = field(default_factory=dict)
 
@@ -160,7 +162,11 @@
             "seeds": seeds, **self.table, **changed,
         }  # fmt: skip
         lines = [f"{key} = {json.dumps(value)}" for key, value in table.items()]
-        (member.folder / "operator.toml").write_text("\n".join(["[membership]", *lines, ""]))
+        text = ["[membership]", *lines]
+        for name, other in self.tables.items():
+            own = {"path": str(member.folder / "list")} if name == "start" and self.kept else {}
+            text += [f"[{name}]", *(f"{key} = {json.dumps(value)}" for key, value in (own | other).items())]
+        (member.folder / "operator.toml").write_text("\n".join([*text, ""]))
         settings = self.config["settings"] | {"myZone": member.zone, "zones": ["z0", "z1", "z2"]}
         document = self.config | {
             "name": member.name, "listen": "127.0.0.1:0", "admin": f"{DOORS}:{member.door}",
--- /dev/null
+++ b/benchmarks/faults/service.py
@@ -0,0 +1,134 @@
+"""A list service of fixed capacity: calls in turn, each at a cost, turned down if they had to wait long."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import threading
+from dataclasses import dataclass, field
+from typing import Any
+
+HEAD_END = b"\r\n\r\n"
+
+
+@dataclass
+class Service:
+    """The list, what it costs to tell it, and what was asked."""
+
+    targets: list[dict[str, Any]]
+    rev: int = 10
+    whole_s: float = 0.1  # the service's time for a whole list
+    newer_s: float = 0.05
+    most_wait_s: float = 2.0
+    down: bool = False  # connections are closed unheard
+    slow: float = 1.0  # times the cost
+    cut_short: bool = False  # half of its answer, then it closes
+    calls: list[tuple[float, str]] = field(default_factory=list)  # when, and which: whole, newer, refused
+    _free_at: float = 0.0
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def count(self, kind: str) -> int:
+        """How many such calls there were."""
+        return sum(what == kind for _, what in self.calls)
+
+    def longest_overload(self) -> float:
+        """Seconds for which calls were turned down without a pause of a second."""
+        refused = [when for when, what in self.calls if what == "refused"]
+        longest = begin = 0.0
+        for before, when in zip([-10.0, *refused], refused, strict=False):
+            begin = when if when - before > 1.0 else begin
+            longest = max(longest, when - begin)
+        return longest
+
+    def tell(self, **changed: Any) -> None:
+        """Another version of the list."""
+        for name, value in changed.items():
+            setattr(self, name, value)
+        self.rev += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection's calls."""
+        loop = asyncio.get_running_loop()
+        try:
+            while not self.down:
+                head = await reader.readuntil(HEAD_END)
+                if self.down:
+                    break
+                after = re.search(rb"after=(\d+)", head)
+                wait = re.search(rb"wait_ms=(\d+)", head)
+                cost = (self.newer_s if after else self.whole_s) * self.slow
+                now = loop.time()
+                if max(self._free_at - now, 0.0) + cost > self.most_wait_s:
+                    self.calls.append((now, "refused"))
+                    writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                    continue
+                self.calls.append((now, "newer" if after else "whole"))
+                self._free_at = max(self._free_at, now) + cost
+                await asyncio.sleep(self._free_at - now)
+                if after and int(after[1]) >= self.rev and wait:
+                    try:
+                        async with asyncio.timeout(int(wait[1]) / 1000):
+                            await self._changed.wait()
+                    except TimeoutError:
+                        pass
+                self._answer(writer, int(after[1]) if after else None)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):  # the last one: we close
+            pass
+        finally:
+            writer.close()
+
+    def _answer(self, writer: asyncio.StreamWriter, after: int | None) -> None:
+        known = after is not None and after == self.rev
+        document = {"rev": self.rev, "all": not known, "targets": [] if known else self.targets}
+        body = json.dumps(document).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+        writer.write(body[: len(body) // 2] if self.cut_short else body)
+        if self.cut_short:
+            writer.close()
+
+
+class ServiceThread:
+    """A service on a loop of its own, beside a test that waits."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+
+        async def listen() -> asyncio.Server:
+            return await asyncio.start_server(service.serve, "127.79.0.2", 0, backlog=1000)
+
+        self._server = asyncio.run_coroutine_threadsafe(listen(), self._loop).result(10)
+        self.address = f"127.79.0.2:{self._server.sockets[0].getsockname()[1]}"
+
+    def tell(self, **changed: Any) -> None:
+        """See Service.tell."""
+        self._loop.call_soon_threadsafe(lambda: self.service.tell(**changed))
+
+    def close(self) -> None:
+        """End it."""
+
+        async def end() -> None:
+            self._server.close()
+            calls = asyncio.all_tasks() - {asyncio.current_task()}
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+        asyncio.run_coroutine_threadsafe(end(), self._loop).result(10)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(10)
+        self._loop.close()
+
+
+def workers(count: int, host: str = "127.0.0.1", state: str = "ready") -> list[dict[str, Any]]:
+    """Entries of a list; nobody need listen there."""
+    return [
+        {"uid": f"w{i}", "endpoint": f"{host}:{20000 + i}", "state": state, "az": "a", "model": "m",
+         "pod_group": 0, "capacity_hint": 1.0, "boot_ms": 0}
+        for i in range(count)
+    ]  # fmt: skip
--- a/oxbowyard/__main__.py
+++ b/oxbowyard/__main__.py
@@ -47,7 +47,7 @@
     if gearman is not None and tables.gearman is not None:
         raise BadConfig(f"{operator.name} has a table [gearman], and --gearman names another file")
     served = tables.gearman or _load_gearman(gearman, config)
-    return Read(config, served, tables.waiting, tables.durable, tables.membership)
+    return Read(config, served, tables.waiting, tables.durable, tables.membership, tables.start)
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from dataclasses import dataclass, replace
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
@@ -30,6 +30,8 @@
     from ..durable.keeping import Keeping
     from ..membership.table import MembershipSettings
     from ..peers.part import MembershipPart
+    from ..start.part import StartPart
+    from ..start.table import StartSettings
     from ..waiting.room import WaitingRoom
     from ..waiting.settings import WaitingSettings
 
@@ -181,6 +183,27 @@
     )  # fmt: skip
 
 
+def first_list(settings: StartSettings, parts: Assembly, group: MembershipPart | None) -> StartPart:
+    """Where the first list comes from, as a part of the program."""
+    from ..start.part import Offers, StartPart
+
+    director, roster, config = parts.director, parts.roster, parts.config
+
+    def adopt(document: Mapping[str, Any], cold: bool, newer: bool) -> bool:
+        return director.adopt(document, parts.clock() if cold else None, newer)
+
+    def told() -> tuple[int, list[dict[str, Any]]] | None:
+        return None if director.told is None else (director.told, roster.document())
+
+    offers = Offers(
+        name=config.name, configured=config.settings.siblings, common=config.settings.must_subscribe,
+        random=SystemRandom(), known=config.known, adopt=adopt, told=told, peers=group,
+    )  # fmt: skip
+    part = StartPart(settings, offers)
+    director.turn, director.on_told = part.turn, part.service_spoke
+    return part
+
+
 def _room(
     waiting: WaitingSettings,
     classes: Iterable[JobClass],
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -25,16 +25,17 @@
 from ..listeners.gate import Gate
 from ..succession.files import BEAT_EVERY, Marks
 from ..succession.steps import Step, Succession
-from .assembly import Assembly, membership
+from .assembly import Assembly, first_list, membership
 from .collector import collect_when_few, spare_full_passes
 from .config import BadConfig, Config, lacks, needs_restart
-from .parts import Parts
+from .parts import Part, Parts
 
 if TYPE_CHECKING:  # only where the operator's file has its table
     from ..durable.keeping import Keeping
     from ..durable.settings import DurableSettings
     from ..membership.table import MembershipSettings
     from ..peers.part import MembershipPart
+    from ..start.table import StartSettings
     from ..waiting.settings import WaitingSettings
 
 log = logging.getLogger("oxbowyard.daemon")
@@ -74,6 +75,7 @@
     waiting: WaitingSettings | None = None
     durable: DurableSettings | None = None
     membership: MembershipSettings | None = None
+    start: StartSettings | None = None
 
 
 ReadConfig = Callable[[], Read]  # raises BadConfig
@@ -110,7 +112,10 @@
             self._membership = membership(
                 self._started.membership, self._parts, self._rotation, lambda: DOES[self.state]
             )
-        self._further = Parts([self._membership] if self._membership else [])
+        further: list[Part] = [self._membership] if self._membership else []
+        if self._started.start is not None:
+            further.append(first_list(self._started.start, self._parts, self._membership))
+        self._further = Parts(further)
         self._sessions = ClientSessions(
             self._parts.scheduler,
             self._parts.classes,
@@ -250,7 +255,7 @@
         self._files.accepted += 1
         config = read.config
         fixed = needs_restart(self._config, config) + self._retune(config.settings)
-        for name in ("gearman", "waiting", "durable", "membership"):
+        for name in ("gearman", "waiting", "durable", "membership", "start"):
             if getattr(read, name) != getattr(self._started, name):
                 fixed = (*fixed, name)
         if fixed:
--- a/oxbowyard/director/roster.py
+++ b/oxbowyard/director/roster.py
@@ -109,6 +109,17 @@
             return replace(info, readiness=Readiness.DRAINING)
         return info
 
+    def document(self) -> list[dict[str, Any]]:
+        """The list as the service tells it: those that are not gone, with what it said of each."""
+        return [
+            {
+                "uid": b.uid, "endpoint": b.endpoint, "state": b.readiness.value, "az": b.info.zone,
+                "model": b.info.kind, "pod_group": b.info.cell, "capacity_hint": b.info.weight,
+                "boot_ms": b.info.online_since,
+            }
+            for b in self.backends.values() if b.readiness is not Readiness.GONE
+        ]  # fmt: skip
+
     def put_out(self, uid: str) -> WorkerInfo | None:
         """Out of rotation by hand, from now on; None if it is unknown. A second call changes nothing."""
         backend = self.backends.get(uid)
--- a/oxbowyard/director/watch.py
+++ b/oxbowyard/director/watch.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from random import Random
 
 import aiohttp
@@ -22,7 +23,12 @@
     """The calls to one address, beginning with the whole list, or with what is newer than the one in hand."""
 
     def __init__(
-        self, address: str, take: Callable[[_Watch, Change], None], pace: CallPace, rev: int | None = None
+        self,
+        address: str,
+        take: Callable[[_Watch, Change], None],
+        pace: CallPace,
+        rev: int | None = None,
+        brief: bool = False,
     ) -> None:
         self.address = address
         self._pace = pace
@@ -30,6 +36,7 @@
         self._take = take
         self._rev = rev
         self._silent = False
+        self._brief = brief
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -49,7 +56,8 @@
     async def _once(self, session: aiohttp.ClientSession) -> bool:
         url, wait = self._base, 0.0
         if self._rev is not None:
-            url, wait = url.with_query(after=self._rev, wait_ms=self._pace.wait_ms), self._pace.wait_ms / 1000
+            wait_ms = 1 if self._brief else self._pace.wait_ms
+            url, wait = url.with_query(after=self._rev, wait_ms=wait_ms), wait_ms / 1000
         try:
             async with (
                 asyncio.timeout(wait + self._pace.within),
@@ -68,7 +76,7 @@
             self._note_silence(fault)
             return False
         self._note_answer()
-        self._rev = change.rev
+        self._rev, self._brief = change.rev, False
         self._take(self, change)
         return True
 
@@ -85,6 +93,10 @@
         self._silent = False
 
 
+async def _at_once() -> None:
+    return
+
+
 class Director:
     """The list of backends from the address in force. `learn` is told every change, in order."""
 
@@ -106,6 +118,10 @@
         self._watch: _Watch | None = None  # the one whose list counts
         self._coming: _Watch | None = None  # the one that takes over with its first answer
         self._tasks: dict[_Watch, asyncio.Task[None]] = {}
+        self._brief = False  # the first watch is to confirm a list at once, not to wait for a change
+        self.told: int | None = None  # the version that the service told last
+        self.on_told: Callable[[], None] = lambda: None  # after each answer of it, also that nothing changed
+        self.turn: Callable[[], Awaitable[None]] = _at_once  # awaited before the first call
         self.ready = asyncio.Event()  # there is a list to serve by: discovery's answer, or one from before
 
     def reckon(self, siblings: int) -> None:
@@ -126,6 +142,28 @@
             self._known = change.rev
             self.ready.set()
 
+    def adopt(self, document: object, since: float | None, newer: bool) -> bool:
+        """Serve from this whole list until the service has told one. Its workers are taken to have started
+        at `since` at the earliest, in clock time; `newer` says that what has changed since may be asked for.
+        False if the service has spoken, or there is nothing to serve from in it."""
+        if self.told is not None:
+            return False
+        try:
+            change = parse_list(document)
+        except BrokenList as fault:
+            log.warning("list not usable: %s", fault)
+            return False
+        if not change.entries:
+            return False
+        scope, infos = self._roster.apply(replace(change, full=True), restored=True)
+        if since is not None:
+            infos = tuple(replace(i, online_since=max(i.online_since, since)) for i in infos)
+        self._learn(scope, infos)
+        self._known = change.rev if newer and self._pace.common else None
+        self._brief = True
+        self.ready.set()
+        return True
+
     def move(self, address: str) -> None:
         """Watch another address from now on; until it has answered, the one before goes on."""
         self._moves.put_nowait(address)
@@ -133,6 +171,7 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         async with asyncio.TaskGroup() as group:
+            await self.turn()
             while True:
                 address = await self._moves.get()
                 self._end(self._coming)  # overtaken before it answered
@@ -140,7 +179,7 @@
                 if self._watch is not None and self._watch.address == address:
                     self._on_settled()
                     continue
-                self._coming = _Watch(address, self._take, self._pace, self._known)
+                self._coming = _Watch(address, self._take, self._pace, self._known, self._brief)
                 self._known = None  # another address may count its versions anew
                 self._tasks[self._coming] = group.create_task(self._coming.run())
 
@@ -161,6 +200,8 @@
             level = logging.INFO if change.full else logging.DEBUG
             log.log(level, "list rev %d, %s, %d entries", change.rev, scope.value, len(infos))
             self._learn(scope, infos)
+        self.told = change.rev
+        self.on_told()
         self.ready.set()
         if moved:
             log.info("discovery is watched at %s", watch.address)
--- a/oxbowyard/membership/messages.py
+++ b/oxbowyard/membership/messages.py
@@ -118,7 +118,22 @@
     notes: list[Note]
 
 
-Message = Ping | Ack | PingFor | Nack | Sync | Told
+class Want(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Give me this, if you have it; over a stream."""
+
+    head: Head
+    what: str
+
+
+class Given(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Here it is; `body` is for whoever asked to read."""
+
+    head: Head
+    what: str
+    body: bytes
+
+
+Message = Ping | Ack | PingFor | Nack | Sync | Told | Want | Given
 
 
 class Malformed(ValueError):
--- a/oxbowyard/membership/node.py
+++ b/oxbowyard/membership/node.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from .datagrams import Datagrams
-from .messages import Malformed, Note, Sync, decode, encode
+from .messages import VERSION, Given, Head, Malformed, Message, Note, Sync, Want, decode, encode
 from .protocol import Action, Group, Heard, Notice, Send
 from .streams import Streams
 from .table import MembershipSettings
@@ -39,6 +39,7 @@
         self._loop = asyncio.get_running_loop()
         self.counts: Counter[str] = Counter()  # of what was dropped, by why
         self.group = self._new_group()
+        self._offered: dict[str, Callable[[], bytes | None]] = {}
         self._datagrams: Datagrams | None = None
         self._streams: Streams | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -97,6 +98,26 @@
         now = self._loop.time()
         self._carry_out(self.group.say(now, about, value, lasts, common, at_once, count))
 
+    def offer(self, what: str, give: Callable[[], bytes | None]) -> None:
+        """Answer the others' questions for something; None is no answer."""
+        self._offered[what] = give
+
+    def ask(self, address: str, what: str, take: Callable[[bytes], None]) -> None:
+        """Ask one of the others for something; an answer may come, or not."""
+        if self._streams is None:
+            return
+
+        def given(data: bytes) -> None:
+            message = self._read(data)
+            if isinstance(message, Given) and message.what == what:
+                take(message.body)
+
+        self._streams.ask(address, encode(Want(self._head(), what)), given)
+
+    def _head(self) -> Head:
+        me = self.group.me
+        return Head(VERSION, self._settings.group, me.name, me.run, me.address)
+
     # ---- What comes ----
 
     def _tick(self) -> None:
@@ -109,22 +130,31 @@
         except Malformed as fault:
             self.counts[f"datagram {fault}"] += 1
             return
-        if isinstance(message, Sync):  # it would be answered with far more bytes than it took
+        if isinstance(message, (Sync, Want, Given)):  # it would be answered with far more bytes than it took
             self.counts["datagram out of place"] += 1
             return
         self._carry_out(self.group.handle(self._loop.time(), message, source))
 
-    def _stream(self, data: bytes, source: str) -> list[Action]:
+    def _read(self, data: bytes) -> Message | None:
         s = self._settings
         try:
-            message = decode(data, s.group, s.max_members + 1 + s.max_notes)
+            return decode(data, s.group, s.max_members + 1 + s.max_notes)
         except Malformed as fault:
             self.counts[f"stream {fault}"] += 1
+            return None
+
+    def _stream(self, message: Message | None) -> list[Action]:
+        if message is None:
             return []
-        return self.group.handle(self._loop.time(), message, source, stream=True)
+        return self.group.handle(self._loop.time(), message, ANSWER, stream=True)
 
     def _answer(self, question: bytes) -> bytes | None:
-        actions = self._stream(question, ANSWER)
+        message = self._read(question)
+        if isinstance(message, Want):
+            give = self._offered.get(message.what)
+            body = give() if give is not None else None
+            return None if body is None else encode(Given(self._head(), message.what, body))
+        actions = self._stream(message)
         answers = [a for a in actions if isinstance(a, Send) and a.address == ANSWER]
         self._carry_out([a for a in actions if a not in answers])
         return encode(answers[0].message) if answers else None
@@ -146,7 +176,7 @@
         self._set_timer()
 
     def _take_answer(self, data: bytes) -> None:
-        actions = self._stream(data, ANSWER)  # an answer is not answered
+        actions = self._stream(self._read(data))  # an answer is not answered
         self._carry_out([a for a in actions if not (isinstance(a, Send) and a.address == ANSWER)])
 
     def _set_timer(self) -> None:
--- a/oxbowyard/operator/file.py
+++ b/oxbowyard/operator/file.py
@@ -19,6 +19,7 @@
 from ..gearman.config import Function, GearmanConfig
 from ..gearman.config import parse as parse_gearman
 from ..membership.table import MembershipSettings
+from ..start.table import StartSettings
 from ..waiting.settings import ClassSettings, WaitingSettings
 
 MOST_FILE = 1 << 20  # bytes: a file of settings has some thousand; a device or a log is none
@@ -54,6 +55,7 @@
     durable: DurableSettings | None = None
     gearman: GearmanTable | None = None
     membership: MembershipSettings | None = None
+    start: StartSettings | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,6 +66,7 @@
     gearman: GearmanConfig | None = None
     durable: DurableSettings | None = None
     membership: MembershipSettings | None = None
+    start: StartSettings | None = None
 
 
 class Faulty(ValueError):
@@ -109,7 +112,7 @@
         faults.append("durable: needs the table [waiting]")
     if faults:
         raise Faulty(path.name, faults)
-    return OperatorConfig(waiting, gearman, tables.durable, tables.membership)
+    return OperatorConfig(waiting, gearman, tables.durable, tables.membership, tables.start)
 
 
 def _with_functions(waiting: WaitingSettings, functions: Mapping[str, Function]) -> WaitingSettings:
--- a/oxbowyard/peers/part.py
+++ b/oxbowyard/peers/part.py
@@ -186,6 +186,25 @@
         """The operators put a backend out of rotation or back, here."""
         self._drains.changed(uid, out, self._loop.time())
 
+    # ---- What other parts ask of the group ----
+
+    def names(self) -> list[str]:
+        """Members that are there, this one left out."""
+        return [m.claim.name for m in self.node.group.view if m.here]
+
+    def address(self, name: str) -> str:
+        """Where a member can be asked."""
+        member = self.node.group.view.members.get(name)
+        return member.claim.address if member is not None else ""
+
+    def ask(self, address: str, what: str, take: Callable[[bytes], None]) -> None:
+        """Ask a member for something; an answer may come."""
+        self.node.ask(address, what, take)
+
+    def offer(self, what: str, give: Callable[[], bytes | None]) -> None:
+        """Answer such questions of others."""
+        self.node.offer(what, give)
+
     # ---- What it hears ----
 
     def _hear(self, note: Note) -> None:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -80,6 +80,8 @@
         ("[membership]\nlisten = 'h:7'\nsplit_s = 5.0", "membership: split_s must not be under doubt_s"),
         ("[membership]\nlisten = 'h:7'\nmax_members = 1", "membership.max_members: Expected"),
         ("[membership]\nlisten = 'h:7'\nseeds = ['x']", "membership.seeds: Expected"),
+        ("[start]\nfresh_s = 10.0\nmax_age_s = 5.0", "start: fresh_s must not be over max_age_s"),
+        ("[start]\nfew = 0", "start.few: Expected"),
         ("= 1", "line 1"),
         ("#" * (MOST_FILE + 1), "over 1048576 bytes"),
     ],
@@ -135,7 +137,7 @@
     assert not loaded & {"msgspec", "sortedcontainers", "hypothesis", "typer", "pydantic"}
     for name in (
         "waiting.policy", "waiting.room", "store", "durable", "operator", "clients.waiting",
-        "cli", "configuration", "membership", "peers",
+        "cli", "configuration", "membership", "peers", "start",
     ):  # fmt: skip
         assert f"oxbowyard.{name}" not in told.split()
     assert "sqlite3" not in loaded
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,352 @@
+"""How schedulers begin: lists by source and age, the list on disk, turns at the service, and whole groups."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import os
+import re
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from benchmarks.faults.processes import ROOT, Fleet, Member, fleet, until
+from benchmarks.faults.service import Service, ServiceThread, workers
+from oxbowyard.start import disk
+from oxbowyard.start.lists import Listed, Source, Unusable, best, better, listed
+from oxbowyard.start.part import Offers, StartPart
+from oxbowyard.start.table import StartSettings
+from oxbowyard.start.turn import Turn, begins, place
+
+DAY = 86400.0
+CONFIG: dict[str, Any] = json.loads((ROOT / "examples/config.json").read_text())
+ASKED = json.loads((ROOT / "tests/settings_asked.json").read_text())
+
+
+def one(source: Source, age: float) -> Listed:
+    return listed(source, age, {"rev": 1, "targets": workers(2)}, 10)
+
+
+# ---- Lists ----
+
+
+def test_the_youngest_list_is_served_from_and_one_of_unknown_age_last() -> None:
+    config, old, day = one(Source.CONFIG, math.inf), one(Source.DISK, 500.0), one(Source.DISK, 2 * DAY)
+    peer = one(Source.PEER, 3.0)
+    assert best([config, old, peer], DAY) is peer
+    assert best([config, old], DAY) is old
+    assert best([config, day], DAY) is config, "a list that is too old is none"
+    assert best([day], DAY) is None and best([], DAY) is None
+    assert better(peer, old) and better(old, None) and not better(old, peer)
+    assert not better(one(Source.PEER, 4.6), one(Source.PEER, 5.0)), "it would move the work for nothing"
+
+
+@pytest.mark.parametrize(("document", "why"), [
+    (None, "no list"), ([], "no list"), ({"rev": "1", "targets": []}, "absurd version"),
+    ({"rev": -1, "targets": workers(1)}, "absurd version"), ({"rev": True, "targets": []}, "absurd version"),
+    ({"rev": 1 << 70, "targets": workers(1)}, "absurd version"),
+    ({"rev": 1, "targets": "x"}, "no list of targets"), ({"rev": 1, "targets": [1]}, "no list of targets"),
+    ({"rev": 1, "targets": []}, "empty"), ({"rev": 1, "targets": workers(11)}, "11 entries, over 10"),
+    ({"rev": 1, "targets": workers(2) + workers(1)}, "named twice"),
+    ({"rev": 1, "targets": [{}]}, "not at all"),
+])  # fmt: skip
+def test_what_is_no_list_is_told_in_a_few_words(document: object, why: str) -> None:
+    with pytest.raises(Unusable, match=why):
+        listed(Source.PEER, 1.0, document, 10)
+
+
+def test_an_absurd_age_is_refused() -> None:
+    for age in (-1.0, math.nan):
+        with pytest.raises(Unusable, match="absurd age"):
+            one(Source.PEER, age)
+
+
+# ---- The list on disk ----
+
+
+def kept(path: Path, site: str = "a", now: float = 1000.0, most: int = 10) -> Listed:
+    return disk.read(path, site, now, DAY, most, 1 << 16)
+
+
+def test_what_is_written_is_read_with_its_age(tmp_path: Path) -> None:
+    path = tmp_path / "list"
+    disk.write(path, "a", 900.0, 7, workers(3))
+    found = kept(path)
+    assert (found.age, found.rev, len(found.targets), found.source) == (100.0, 7, 3, Source.DISK)
+    disk.write(path, "a", 990.0, 8, workers(2))
+    assert kept(path).rev == 8 and os.listdir(tmp_path) == ["list"]
+
+
+def test_every_single_byte_that_is_wrong_or_missing_is_noticed(tmp_path: Path) -> None:
+    path = tmp_path / "list"
+    disk.write(path, "a", 900.0, 7, workers(2))
+    whole = path.read_bytes()
+    for at in range(len(whole)):
+        path.write_bytes(whole[:at])
+        with pytest.raises(Unusable, match="damaged"):
+            kept(path)
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1 :])
+        with pytest.raises(Unusable, match="damaged"):
+            kept(path)
+
+
+def test_a_list_that_is_not_to_be_used_says_why(tmp_path: Path) -> None:
+    path = tmp_path / "list"
+    for told_at, site, count, why in (
+        (900.0, "b", 2, "another site"), (1100.0, "a", 2, "from the future"), (900.0, "a", 0, "empty"),
+        (900.0 - DAY, "a", 2, "86500 s old"), (900.0, "a", 11, "over 10"), (math.nan, "a", 2, "damaged"),
+    ):  # fmt: skip
+        disk.write(path, site, told_at, 7, workers(count))
+        with pytest.raises(Unusable, match=why):
+            kept(path)
+    with pytest.raises(Unusable, match="not there"):
+        kept(tmp_path / "none")
+    with pytest.raises(Unusable, match="can't be read"):
+        kept(tmp_path)
+    path.write_bytes(b"x" * (1 << 17))
+    with pytest.raises(Unusable, match="over 65536 bytes"):
+        kept(path)
+
+
+def test_a_write_that_fails_leaves_the_one_before(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = tmp_path / "list"
+    disk.write(path, "a", 900.0, 7, workers(2))
+
+    def full(number: int) -> None:
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(os, "fsync", full)
+    with pytest.raises(OSError, match="No space"):
+        disk.write(path, "a", 950.0, 8, workers(2))
+    assert kept(path).rev == 7 and os.listdir(tmp_path) == ["list"]
+
+
+# ---- Turns ----
+
+
+def test_the_few_go_first_and_everybody_has_a_place() -> None:
+    names = [f"m{i}" for i in range(300)]
+    turns = {n: Turn(n, 3, 2.0, Random(n), 0.0).due(set(names) - {n}, 1) for n in names}
+    assert sorted(place(n, names) for n in names) == list(range(300))
+    assert sum(due == 0.0 for due in turns.values()) == 3
+    for second in (10, 100, 1000):  # of a service that answers nobody: at most three in each turn
+        begun = sum(begins(number, 2.0) < second for number in range(99))
+        assert sum(due < second for due in turns.values()) <= 3 * (2 + begun)
+    assert max(turns.values()) <= begins(99, 2.0) + 1.0
+
+
+def test_if_the_few_are_dead_the_next_turn_comes() -> None:
+    names = sorted((f"m{i}" for i in range(30)), key=lambda n: place(n, [f"m{i}" for i in range(30)]))
+    dead = set(names[:3])
+    after = min(Turn(n, 3, 2.0, Random(1), 0.0).due(set(names) - {n}, 1) for n in names if n not in dead)
+    assert 2.0 <= after <= 3.0, "they are still in the view"
+    gone = min(Turn(n, 3, 2.0, Random(1), 0.0).due(set(names) - dead - {n}, 1) for n in names[3:])
+    assert gone == 0.0, "found dead, they leave their places"
+
+
+def test_one_that_knows_nobody_goes_by_the_configured_number() -> None:
+    dues = [Turn("m0", 3, 2.0, Random(seed), 5.0).due([], 200) for seed in range(200)]
+    assert max(dues) < 5.0 + 200 * 2.0 / 3 and 40 < sum(due < 5.0 + 40.0 for due in dues) < 80
+    assert Turn("m0", 3, 2.0, Random(1), 5.0).due([], 1) == 5.0
+
+
+# ---- Groups of processes ----
+
+
+@pytest.fixture()
+def service() -> Iterator[ServiceThread]:
+    made = ServiceThread(Service(workers(12)))
+    yield made
+    made.close()
+
+
+@contextmanager
+def group(tmp_path: Path, service: ServiceThread, size: int, **start: Any) -> Iterator[Fleet]:
+    """Processes with [start] and [membership], not started yet."""
+    config = CONFIG | {"discovery": service.address, "settings": ASKED | {"siblings": size}}
+    with fleet(tmp_path, config) as made:
+        made.tables["start"] = {"keep_every_s": 0.3, **start}
+        made.kept = True
+        made.add(size)
+        yield made
+
+
+def kept_rev(member: Member) -> int:
+    """The version of the list in its file, 0 if there is none of late."""
+    try:
+        return disk.read(member.folder / "list", "default", time.time(), 60.0, 99, 1 << 20).rev
+    except Unusable:
+        return 0
+
+
+def ready(members: list[Member]) -> bool:
+    return all(m.call("GET", "/control/ready")[0] == 200 for m in members)
+
+
+def told(members: list[Member]) -> bool:
+    return all("the service's list is here" in m.log() for m in members)
+
+
+def test_many_at_once_ask_for_few_whole_lists(tmp_path: Path, service: ServiceThread) -> None:
+    with group(tmp_path, service, 14) as made:
+        members = list(made)
+        for member in members:
+            member.start()
+        until(lambda: told(members) and ready(members), "all have the service's list")
+        assert service.service.count("whole") <= 4
+        assert service.service.count("refused") == 0
+        assert any("serves from a list of the peer" in m.log() for m in members)
+
+
+def test_with_the_service_down_all_serve_from_their_disks_until_it_speaks(
+    tmp_path: Path, service: ServiceThread
+) -> None:
+    with group(tmp_path, service, 6) as made:
+        members = list(made)
+        for number, member in enumerate(members):
+            site, at = ("other" if number == 5 else "default"), 0.0
+            disk.write(member.folder / "list", site, at, 3, workers(9))
+            member.start()
+        until(lambda: all("list of the disk is not used" in m.log() for m in members), "it is too old")
+        for member in members:
+            member.kill()
+        service.service.down = True
+
+        for member in members[:5]:
+            disk.write(member.folder / "list", "default", time.time() - 300.0, 3, workers(9))
+        disk.write(members[5].folder / "list", "other", time.time() - 300.0, 3, workers(9))
+        for member in members:
+            member.start()
+        until(lambda: ready(members[:5]), "those with a list of their site serve")
+        said = r"serves from a list of the disk list, 3\d\d s old, 9 workers, all taken to be cold"
+        assert re.search(said, members[0].log()), members[0].log()
+        assert members[5].call("GET", "/control/ready")[0] != 200
+        assert "of another site" in members[5].log()
+        service.service.down = False
+        until(lambda: told(members) and ready(members), "the service's list is everywhere", 60)
+        figures = [json.loads(m.call("GET", "/control/counters")[1]) for m in members]
+        assert {f["registry_entries"] for f in figures} == {12}, "it replaced the old ones"
+        until(lambda: all(kept_rev(m) == 10 for m in members), "and is kept")
+
+
+def test_a_list_cut_short_is_none_and_the_next_whole_one_is_taken(
+    tmp_path: Path, service: ServiceThread
+) -> None:
+    service.service.cut_short = True
+    with group(tmp_path, service, 3) as made:
+        members = list(made)
+        for member in members:
+            member.start()
+        until(lambda: any("discovery does not answer" in m.log() for m in members), "it was asked")
+        assert not any(ready([m]) for m in members)
+        service.service.cut_short = False
+        until(lambda: told(members) and ready(members), "all serve")
+
+
+def test_a_disk_that_can_not_be_written_is_said_once_and_no_harm(
+    tmp_path: Path, service: ServiceThread
+) -> None:
+    with group(tmp_path, service, 2) as made:
+        members = list(made)
+        made.tables["start"]["path"] = str(tmp_path / "no such folder" / "list")
+        made.kept = False
+        for member in members:
+            made.write(member)
+            member.start()
+        until(lambda: told(members) and ready(members), "all serve")
+        until(lambda: all("the list is not kept on disk" in m.log() for m in members), "it is said")
+        service.tell(targets=workers(13))
+        until(lambda: all(json.loads(m.call("GET", "/control/counters")[1])["registry_entries"] == 13
+                          for m in members), "a change is taken")  # fmt: skip
+        assert all(m.log().count("the list is not kept on disk") == 1 for m in members)
+
+
+def test_a_drain_told_during_the_start_holds_at_all(tmp_path: Path, service: ServiceThread) -> None:
+    with group(tmp_path, service, 4) as made:
+        members = list(made)
+        for member in members:
+            member.start()
+        until(lambda: members[0].call("PUT", "/control/scan-workers/w1/offline")[0] == 200, "it is told")
+        until(lambda: told(members) and ready(members), "all serve")
+        until(lambda: all(json.loads(m.call("GET", "/control/counters")[1])["out_of_rotation"] == 1
+                          for m in members), "all have drained it")  # fmt: skip
+
+
+# ---- One part, without processes ----
+
+
+class Desk:
+    """A part whose program only notes what it is asked."""
+
+    def __init__(self, known: object = None, **settings: Any) -> None:
+        self.adopted: list[tuple[int, bool, bool]] = []
+        self.list: tuple[int, list[dict[str, Any]]] | None = None
+        offers = Offers(
+            name="m0", configured=4, common=True, random=Random(1), known=known, adopt=self._adopt,
+            told=lambda: self.list, wall=lambda: 1000.0,
+        )  # fmt: skip
+        self.part = StartPart(StartSettings(**settings), offers)
+
+    def _adopt(self, document: Any, cold: bool, newer: bool) -> bool:
+        self.adopted.append((document["rev"], cold, newer))
+        return True
+
+
+def body(rev: int, age: object, count: int = 2, site: str = "default") -> bytes:
+    return json.dumps({"rev": rev, "targets": workers(count), "age": age, "site": site}).encode()
+
+
+def test_a_peers_list_is_an_aged_one_and_its_turn_is_over_with_a_young_one() -> None:
+    async def play() -> None:
+        desk = Desk({"rev": 2, "targets": workers(2)}, fresh_s=60.0, same_service_s=600.0)
+        desk.part._adopt_best()
+        assert desk.adopted == [(2, True, False)], "of unknown age: cold, and nothing newer is asked for"
+        desk.part._offered("m1", body(5, 5000.0))
+        assert desk.adopted[-1] == (5, True, False) and not desk.part._turn_came.is_set()
+        desk.part._offered("m2", body(4, 5000.0))
+        assert len(desk.adopted) == 2, "one that is hardly younger moves the work for nothing"
+        desk.part._offered("m2", body(9, 3.0))
+        assert desk.adopted[-1] == (9, False, True) and desk.part._turn_came.is_set()
+        desk.part.service_spoke()
+        desk.part._offered("m3", body(99, 0.0))
+        assert len(desk.adopted) == 3, "the service has spoken"
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(("offer", "why"), [
+    (b"\xff", "is not used"), (b"[]", "another site"), (body(5, 1.0, site="x"), "another site"),
+    (body(5, None), "no age"), (body(5, True), "no age"), (body(5, -3.0), "absurd age"),
+    (body(5, 1e9), "s old"), (body(-5, 1.0), "absurd version"), (body(5, 1.0, 0), "empty"),
+    (body(5, 1.0, 99), "over 50"),
+])  # fmt: skip
+def test_a_peers_list_that_is_absurd_is_named_and_not_used(
+    offer: bytes, why: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def play() -> None:
+        desk = Desk(max_entries=50)
+        desk.part._offered("m7", offer)
+        assert not desk.adopted and not desk.part._turn_came.is_set()
+
+    asyncio.run(play())
+    assert "the list of peer m7 is not used" in caplog.text and why in caplog.text
+
+
+def test_only_what_the_service_told_is_given_to_peers_with_its_age() -> None:
+    async def play() -> None:
+        desk = Desk()
+        desk.list = (7, workers(3))
+        assert desk.part._give() is None, "an aged list is not handed on: its age would get lost"
+        desk.part.service_spoke()
+        given = json.loads(desk.part._give() or b"")
+        assert given["rev"] == 7 and 0 <= given["age"] < 1.0 and len(given["targets"]) == 3
+        desk.list = (8, workers(99999))
+        assert desk.part._give() is None
+
+    asyncio.run(play())
