A dead watch is noticed within seconds, asked again without a wait, and its news has no grace

Cause: director/pace.py let a call wait 7 s, gave it 2.5 s more and then paused up to 3 s, while what is missed counts as told 6 s after the silence, or 2 s after the wait. An agent's watch (8 s and 1.5 s) kept the rule by luck. Ruled out: the roster (it stops in time once told), the decisions (nobody is picked once told), CPU (0.7 s a second). Change: a watch waits 2 s and is given 0.5 s more (a service for all: 1 s); a call after a failure asks what was missed without a wait, the first one without the doubled pause; news so held back leaves no grace. An older list is asked for again, whole or not; a fault while a list is taken no longer ends the task (director/watch.py, run); a figure like 1e999 is a broken entry, not an OverflowError that ended it.

--- a/oxbowyard/director/pace.py
+++ b/oxbowyard/director/pace.py
@@ -11,9 +11,13 @@
 # down once 2 s of them wait, and to work on those too that it has turned down: a few calls a second more than
 # it can serve, and it serves nobody. All schedulers together leave it a quarter of its time.
 SPACING = 0.25  # seconds that the calls of all schedulers lie apart on average
-WAIT_MS = 8000.0  # a call that was lost on the way is made again after this, not a minute later
-ANSWER_WITHIN = 1.5  # seconds past its wait that a call is given
-COMMON_WITHIN = 2.5  # the same where others may wait before it: given up sooner, it was served for nothing
+# A watch that has fallen silent shows only by an answer that is overdue. What it misses counts as told 6 s
+# after it fell silent, or 2 s after its wait: noticing it, calling again and hearing have to fit in.
+WAIT_MS = 2000.0  # to go on with a watch costs neither an agent nor a service for all anything
+ANSWER_WITHIN = 0.5  # seconds past its wait that an agent's answer is given
+PATIENT_AFTER, PATIENT_WITHIN = 30, 1.5  # failed calls in a row; then the agent may be there, but slow
+GOING_WITHIN = 1.0  # the same for a watch that goes on, where one service serves all
+COMMON_WITHIN = 2.5  # and for a call that others may wait before: given up sooner, it was served for nothing
 LOST_MARGIN_MS, LEAST_WAIT_MS = 500.0, 1000.0
 DOUBLINGS = 2  # of the span, after as many failures: by then the calls take up a fifth of its time
 
@@ -33,28 +37,29 @@
     ask_every: float = math.inf  # milliseconds without a call after which all counts as told
     failures: int = 0
 
-    @property
-    def within(self) -> float:
-        """Seconds past its wait that a call is given."""
-        return COMMON_WITHIN if self.common else ANSWER_WITHIN
+    def within(self, going: bool) -> float:
+        """Seconds past its wait that a call is given; `going` says that it goes on with a watch."""
+        if self.common:
+            return GOING_WITHIN if going else COMMON_WITHIN
+        return ANSWER_WITHIN if self.failures < PATIENT_AFTER else PATIENT_WITHIN
 
     @property
     def wait_ms(self) -> int:
         """How long a watch waits: a lost one is given up before its scheduler counts as told unasked."""
         if not self.common:
             return int(WAIT_MS)
-        return int(min(WAIT_MS, max(self.ask_every - self.within * 1000 - LOST_MARGIN_MS, LEAST_WAIT_MS)))
+        unasked = self.ask_every - COMMON_WITHIN * 1000 - LOST_MARGIN_MS
+        return int(min(WAIT_MS, max(unasked, LEAST_WAIT_MS)))
 
     def first(self) -> float:
         """Seconds to wait before the first call, where a list is in hand from before."""
         return self.random.uniform(0.0, self._span) if self.common else 0.0
 
     def failed(self) -> float:
-        """Seconds to wait now that a call has failed."""
-        if not self.common:
-            return AGENT_PAUSE
-        self.failures += 1
-        return max(self.random.uniform(0.0, self._span), AGENT_PAUSE)
+        """Seconds to wait now that a call has failed: at the first failure in a row no longer than siblings
+        need to keep apart, since a drain may have been missed."""
+        span, self.failures = self._span, self.failures + 1
+        return max(self.random.uniform(0.0, span), AGENT_PAUSE) if self.common else AGENT_PAUSE
 
     def answered(self) -> None:
         """A call was answered: the next failure is a first one."""
--- a/oxbowyard/director/roster.py
+++ b/oxbowyard/director/roster.py
@@ -50,7 +50,7 @@
     for row in document["targets"]:
         try:
             entries.append(_entry(row))
-        except (LookupError, TypeError, ValueError) as fault:
+        except (LookupError, TypeError, ValueError, OverflowError) as fault:  # 1e999 is JSON
             log.warning("broken entry in the list of backends left out: %r", fault)
     return Change(rev, bool(document.get("all")), tuple(entries))
 
@@ -84,13 +84,15 @@
         # Put out of rotation by the operators: drained whatever discovery says, until they are put back.
         self.by_hand: set[str] = set()
 
-    def apply(self, change: Change, restored: bool = False) -> tuple[Scope, tuple[WorkerInfo, ...]]:
-        """Take a change and say it again for the decisions."""
+    def apply(
+        self, change: Change, restored: bool = False, late: bool = False
+    ) -> tuple[Scope, tuple[WorkerInfo, ...]]:
+        """Take a change and say it again for the decisions. `late`: it may have counted as told before."""
         named = {info.name for _, info in change.entries}
         if change.full:
             for backend in self.backends.values():
                 if backend.uid not in named:
-                    self._mark(backend, Readiness.GONE)
+                    self._mark(backend, Readiness.GONE, late)
         for endpoint, info in change.entries:
             known = self.backends.get(info.name)
             if known is None:
@@ -98,7 +100,7 @@
                 log.info("backend %s at %s: new, %s", info.name, endpoint, info.readiness.value)
             known.endpoint = endpoint or known.endpoint
             known.info = info
-            self._mark(known, info.readiness)
+            self._mark(known, info.readiness, late)
         self._forget_long_gone()
         scope = Scope.RESTORED if restored else Scope.FULL if change.full else Scope.CHANGES
         return scope, tuple(self._as_held(info) for _, info in change.entries)
@@ -160,11 +162,12 @@
             b.readiness is not Readiness.GONE and b.uid in self.by_hand for b in self.backends.values()
         )
 
-    def _mark(self, backend: Backend, readiness: Readiness) -> None:
+    def _mark(self, backend: Backend, readiness: Readiness, late: bool) -> None:
         if readiness is Readiness.READY and backend.uid not in self.by_hand:
             backend.leaving_since = None
         elif backend.leaving_since is None:
-            backend.leaving_since = self._clock()
+            # News that a silent watch held back: how much of the grace is left is not known, so none is.
+            backend.leaving_since = self._clock() - (self._grace if late else 0.0)
         if backend.readiness is not readiness:
             log.info("backend %s at %s: %s", backend.uid, backend.endpoint, readiness.value)
         backend.readiness = readiness
--- a/oxbowyard/director/watch.py
+++ b/oxbowyard/director/watch.py
@@ -25,10 +25,9 @@
     def __init__(
         self,
         address: str,
-        take: Callable[[_Watch, Change], None],
+        take: Callable[[_Watch, Change, bool], None],
         pace: CallPace,
         rev: int | None = None,
-        brief: bool = False,
     ) -> None:
         self.address = address
         self._pace = pace
@@ -36,7 +35,7 @@
         self._take = take
         self._rev = rev
         self._silent = False
-        self._brief = brief
+        self._going = False  # the last call was answered, and the next one goes on from there
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -51,35 +50,45 @@
                 if await self._once(session):
                     self._pace.answered()
                 else:
+                    self._going = False
                     await asyncio.sleep(self._pace.failed())
 
     async def _once(self, session: aiohttp.ClientSession) -> bool:
-        url, wait = self._base, 0.0
-        if self._rev is not None:
-            wait_ms = 1 if self._brief else self._pace.wait_ms
-            url, wait = url.with_query(after=self._rev, wait_ms=wait_ms), wait_ms / 1000
         try:
-            async with (
-                asyncio.timeout(wait + self._pace.within),
-                session.get(url, allow_redirects=False) as response,
-            ):
-                body = await response.read()
-            if response.status != 200:
-                raise BrokenList(f"status {response.status}")
-            change = parse_list(orjson.loads(body))
-            if self._rev is not None and not change.full and change.rev < self._rev:
-                self._rev = None  # it counts anew: what changed before would never be told
-                raise BrokenList("an older version than the one in hand")
-            if self._rev is None and not change.full:
-                raise BrokenList("not the whole list")
+            change = await self._call(session)
+            self._note_answer()
+            self._take(self, change, not self._going)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as fault:
             self._note_silence(fault)
             return False
-        self._note_answer()
-        self._rev, self._brief = change.rev, False
-        self._take(self, change)
+        except Exception:  # guards the watch: without it no drain would ever be told again
+            log.exception("fault while taking the list, asking for the whole one: %s", self.address)
+            self._rev = None
+            return False
+        self._rev, self._going = change.rev, True
         return True
 
+    async def _call(self, session: aiohttp.ClientSession) -> Change:
+        url, wait = self._base, 0.0
+        if self._rev is not None:
+            # What was missed is asked for without a wait: a watch begins once that is known.
+            wait_ms = self._pace.wait_ms if self._going else 1
+            url, wait = url.with_query(after=self._rev, wait_ms=wait_ms), wait_ms / 1000
+        async with (
+            asyncio.timeout(wait + self._pace.within(self._going)),
+            session.get(url, allow_redirects=False) as response,
+        ):
+            body = await response.read()
+        if response.status != 200:
+            raise BrokenList(f"status {response.status}")
+        change = parse_list(orjson.loads(body))
+        if self._rev is not None and change.rev < self._rev:
+            self._rev = None  # a late answer, or it counts anew: the whole list tells, whatever its version
+            raise BrokenList("an older version than the one in hand")
+        if self._rev is None and not change.full:
+            raise BrokenList("not the whole list")
+        return change
+
     def _note_silence(self, fault: Exception) -> None:
         if not self._silent:  # once an outage, not once a call
             log.warning(
@@ -118,7 +127,6 @@
         self._watch: _Watch | None = None  # the one whose list counts
         self._coming: _Watch | None = None  # the one that takes over with its first answer
         self._tasks: dict[_Watch, asyncio.Task[None]] = {}
-        self._brief = False  # the first watch is to confirm a list at once, not to wait for a change
         self.told: int | None = None  # the version that the service told last
         self.on_told: Callable[[], None] = lambda: None  # after each answer of it, also that nothing changed
         self.turn: Callable[[], Awaitable[None]] = _at_once  # awaited before the first call
@@ -160,7 +168,6 @@
             infos = tuple(replace(i, online_since=max(i.online_since, since)) for i in infos)
         self._learn(scope, infos)
         self._known = change.rev if newer and self._pace.common else None
-        self._brief = True
         self.ready.set()
         return True
 
@@ -179,7 +186,7 @@
                 if self._watch is not None and self._watch.address == address:
                     self._on_settled()
                     continue
-                self._coming = _Watch(address, self._take, self._pace, self._known, self._brief)
+                self._coming = _Watch(address, self._take, self._pace, self._known)
                 self._known = None  # another address may count its versions anew
                 self._tasks[self._coming] = group.create_task(self._coming.run())
 
@@ -187,7 +194,7 @@
         if watch is not None:
             self._tasks.pop(watch).cancel()
 
-    def _take(self, watch: _Watch, change: Change) -> None:
+    def _take(self, watch: _Watch, change: Change, late: bool) -> None:
         moved = watch is self._coming
         if moved:
             self._end(self._watch)
@@ -195,7 +202,7 @@
         elif watch is not self._watch:  # it answered in the moment that it was ended
             return
         if change.entries or change.full:
-            scope, infos = self._roster.apply(change)
+            scope, infos = self._roster.apply(change, late=late)
             # Weights change every second: only a whole list is news by itself, and what moved is told apart.
             level = logging.INFO if change.full else logging.DEBUG
             log.log(level, "list rev %d, %s, %d entries", change.rev, scope.value, len(infos))
