Nothing owed is dropped where a client leaves, a gate closes, a connection or the program ends

At exit, what lay in the accept queue was reset, and so was a request unread on a kept, silent or half-read connection. A second SIGHUP that undid the first left its later step pending, which made a class repeatable that must not run twice. A worker that moved was sent to at its old address. An endless line ended as a fault of ours, endless lines were read to the deadline. Lines at fault: backends/http.py _body (no look at the client), clients/connection.py data_received (pause_reading hides the end), clients/session.py _end (the library drops what is unread), listeners/gate.py close and _run (cancel loses accepted sockets), daemon/program.py _retune (returns before it cancels), gearman/workers.py _assign. Ruled out: the cancel path itself (a read end cancels within a turn), aiohttp writing after close (it checks), two answers (counted once in both orders). Change: Req.wanted is asked of the system just before the last byte; who sends too much ahead gets its answer and a close instead of a pause; the gate accepts in one step and takes what waits when it closes; connections wind down by phase; bounds for an answer's bytes, lines and tail; fetches by the settings, not at most 3 (a figure of one site).

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -8,22 +8,27 @@
 from collections.abc import AsyncIterator, Collection, Mapping
 
 import aiohttp
+from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
-from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, granted
+from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, granted, is_wanted
 from ..decision.facade import Result
 from ..director.roster import Roster
-from .lines import LineReader, load_header, status_ending
+from .lines import MOST_LINES, LineReader, load_header, status_ending
 
 log = logging.getLogger("oxbowyard.backends")
 
 LAST_BYTE_AFTER = 0.010  # seconds that a job which must not run twice lacks its last byte and can't run yet
-LINE_LIMIT = 1 << 20  # a result of 64 KiB may grow sixfold in JSON
+LINE_LIMIT = 1 << 18  # half of a line's bound: a result of 64 KiB may grow sixfold in JSON
+MOST_ANSWER = 1 << 20  # bytes of the lines of one answer: a result, and progress every second for an hour
 TAIL_WITHIN = 0.25  # seconds for the end of the chunks after the last line; else the connection is closed
+MOST_TAIL = 1 << 16  # bytes of it
+# What the library raises for an answer that breaks off or can't be read; a line past its bound is the third.
+BROKEN = (aiohttp.ClientError, OSError, HttpProcessingError, ValueError)
 
 
 class _Barred(Exception):
-    """The backend may not be sent to any more."""
+    """The req may not be sent to the backend any more; the text says why."""
 
 
 class HttpBackends:
@@ -67,24 +72,26 @@
             return Ending(Result.NOT_SENT, reason="backend is leaving or unknown")
         url = URL(f"http://{address}{req.target}", encoded=True)
         try:
+            body = self._body(backend, address, req, notes)
             response = await self._session.post(
-                url, data=self._body(backend, req, notes), headers=_headers(req, notes), allow_redirects=False
+                url, data=body, headers=_headers(req, notes), allow_redirects=False
             )
-        except _Barred:
-            return Ending(Result.NOT_SENT, reason="backend left while connecting")
+        except _Barred as barred:
+            return Ending(Result.NOT_SENT, reason=str(barred))
         except (aiohttp.ClientError, OSError) as fault:
             if isinstance(fault.__cause__, _Barred):
-                return Ending(Result.NOT_SENT, reason="backend left while connecting")
+                return Ending(Result.NOT_SENT, reason=str(fault.__cause__))
             return _broken(fault, notes)
         return await self._read(response, req, notes)
 
-    async def _body(self, backend: str, req: Req, notes: FetchNotes) -> AsyncIterator[bytes]:
+    async def _body(self, backend: str, address: str, req: Req, notes: FetchNotes) -> AsyncIterator[bytes]:
         """Runs when the connection is up and nothing is sent: the headers go out with the body.
 
         `written` is set before the last byte goes: a break while it is written may leave it sent.
         """
-        if self._roster.address(backend) is None:  # connecting took long and the drain second has passed
-            raise _Barred
+        if self._roster.address(backend) != address:
+            # Connecting took long: its drain second has passed, or it is at another address by now.
+            raise _Barred("backend left while connecting")
         held = 0
         if req.job_class in self.once and len(req.payload) > 1:
             # A backend that resets the connection at once does so before the last byte: then the job never
@@ -93,6 +100,8 @@
             yield req.payload[:-held]
             await asyncio.sleep(LAST_BYTE_AFTER)
         await granted(req, backend)  # before the last byte: a record that comes later may never come
+        if not is_wanted(req):  # a loop held up, or one that does not read, learns of it too late
+            raise _Barred("its client left")
         notes.written = True
         yield req.payload[-held:]
         self.relayed[req.job_class] += 1  # the library asks for more once the last piece is written
@@ -107,7 +116,7 @@
             self._drain_tail(response)
             kept = True
             return ending
-        except (aiohttp.ClientError, OSError, ValueError) as fault:
+        except BROKEN as fault:
             return _broken(fault, notes)
         finally:
             if not kept:  # cut off by us or broken: bytes may be outstanding on it
@@ -115,8 +124,11 @@
 
     async def _lines(self, response: aiohttp.ClientResponse, req: Req, notes: FetchNotes) -> Ending:
         reader = LineReader(req.id, self._load_names)
-        told = False
+        told, size = False, 0
         while line := await response.content.readline():
+            size += len(line)
+            if size > MOST_ANSWER or reader.lines >= MOST_LINES:
+                raise ValueError("answer without an end")
             ending = reader.take(line)
             if ending is not None:
                 return ending
@@ -140,11 +152,14 @@
 
 async def _read_tail(response: aiohttp.ClientResponse) -> None:
     try:
+        size = 0
         async with asyncio.timeout(TAIL_WITHIN):
-            while await response.content.readany():
-                pass
+            while size <= MOST_TAIL and (piece := await response.content.readany()):
+                size += len(piece)
+        if size > MOST_TAIL:
+            raise ValueError("answer without an end")
         response.release()
-    except (TimeoutError, aiohttp.ClientError, OSError):
+    except (TimeoutError, *BROKEN):
         response.close()
     except asyncio.CancelledError:
         response.close()
--- a/oxbowyard/backends/lines.py
+++ b/oxbowyard/backends/lines.py
@@ -12,6 +12,8 @@
 
 log = logging.getLogger("oxbowyard.backends")
 
+MOST_LINES = 10_000  # of one answer: progress every second for an hour is less than half of it
+MOST_TOLD = 3  # broken lines of one answer that are logged
 OF_THE_BACKEND = (408, 425, 429)  # 4xx that say something of it; the others are about the req
 LAST = {"done": Result.OK, "failed": Result.ERROR, "returned": Result.FULL, "lost": Result.RESET}
 
@@ -59,17 +61,21 @@
     def __init__(self, req_id: str, names: Mapping[str, str]) -> None:
         self._req_id = req_id
         self._names = names
+        self.lines = self._broken = 0
         self.began = False
         self.share: float | None = None
 
     def take(self, line: bytes) -> Ending | None:
-        """One line; an ending if it is the last. A broken line is logged and passed over."""
+        """One line; an ending if it is the last. A broken line is logged, the first few, and passed over."""
+        self.lines += 1
         try:
             message = orjson.loads(line)
         except orjson.JSONDecodeError:
             message = None
         if not isinstance(message, dict) or message.get("id") != self._req_id:
-            log.warning("req %s: broken answer line passed over: %.120r", self._req_id, line)
+            self._broken += 1
+            if self._broken <= MOST_TOLD:
+                log.warning("req %s: broken answer line passed over: %.120r", self._req_id, line)
             return None
         state = message.get("state")
         if state == "started":
--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -13,18 +13,23 @@
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import StreamResponse
 
+from ..listeners.ends import peer_ended, unread, unread_bytes
 from .limits import (
     DRAIN_WITHIN,
+    HEARD_WITHIN,
     KEPT_FOR,
     MOST_AHEAD,
     MOST_FIELD,
     MOST_FIELDS,
     MOST_HEAD,
+    MOST_UNREAD,
     READ_AT_ONCE,
     REQUEST_WITHIN,
     TAKEN_WITHIN,
 )
 
+LOOK_AGAIN = 0.02  # seconds until what lies unread has been read, or is looked at again
+LOOK_FOR_END = 0.1  # seconds between looks at a connection that is not read while its answer is owed
 END_SEEN_WITHIN = 0.02  # seconds after which an end of the client's sending is taken for its leaving
 
 
@@ -58,7 +63,7 @@
     """
 
     __slots__ = (
-        "_ahead", "_alarm", "_answered", "_drained", "_head", "_owner",
+        "_ahead", "_alarm", "_answered", "_drained", "_head", "_overrun", "_owner", "_winding_down",
         "ended", "finish_by", "has_asked", "phase", "reading", "since",
     )  # fmt: skip
 
@@ -78,6 +83,8 @@
         self._head = 0  # bytes of a head that has no end yet
         self._ahead = 0  # bytes that came before the answer that is owed
         self._drained: asyncio.Future[None] | None = None
+        self._winding_down = False
+        self._overrun = False  # it sent too much ahead: what follows is dropped, and this answer is its last
         self.reading: StreamReader | None = None
         self.ended = False
         self.has_asked = False  # for a job: only whoever asks for no job at all is a stranger
@@ -98,6 +105,31 @@
         """The request that was read is whole: from here on its answer is owed, however long that takes."""
         self.has_asked = True
         self._enter(Phase.OWED)
+        self._look_for_end()
+
+    def stays(self) -> bool:
+        """Whether the client is still there; an end that was not read yet is seen too, and acted on."""
+        if self.transport is None or self.ended:
+            return False
+        if peer_ended(self.transport):
+            self.ended = True
+            self._loop.call_soon(self._went)
+        return not self.ended
+
+    def _look_for_end(self) -> None:
+        """Whoever sent many requests ahead is not read for now. Its leaving is seen all the same, also where
+        it stands behind more than the system holds for us."""
+        if self.transport is None or self.transport.is_reading() or self.phase is not Phase.OWED:
+            return
+        if unread_bytes(self.transport) > MOST_UNREAD:
+            self._overrun = True
+            self.transport.resume_reading()
+        elif self._alarm is None and self.stays():
+            self._alarm = self._loop.call_later(LOOK_FOR_END, self._look_again)
+
+    def _look_again(self) -> None:
+        self._alarm = None
+        self._look_for_end()
 
     @property
     def is_stranger(self) -> bool:
@@ -108,6 +140,9 @@
         self._alarm = None
         if self.phase is Phase.UNFINISHED and self._pending:
             return  # its body has a timer of its own, set to the same moment
+        if self.phase is Phase.KEPT and unread(self.transport):
+            self._alarm = self._loop.call_later(LOOK_AGAIN, self._late)
+            return
         self._owner.counts[f"late while {self.phase.value}"] += self.phase is not Phase.KEPT
         self.dismiss()
 
@@ -125,6 +160,17 @@
         else:
             self.force_close()
 
+    def wind_down(self) -> None:
+        """Close as soon as nothing is owed: a request that has come, read or not, gets its answer first."""
+        self._winding_down = True
+        young = self.phase is Phase.SILENT and self._loop.time() < self.since + HEARD_WITHIN
+        if self.phase not in (Phase.SILENT, Phase.KEPT):
+            return  # its answer closes it, or its own time
+        if young or unread(self.transport):
+            self._loop.call_later(LOOK_AGAIN, self.wind_down)
+        else:
+            self.force_close()
+
     def yield_place(self) -> None:
         """Close now, for another: its descriptor is wanted."""
         if self.phase is Phase.UNFINISHED and not self._pending and self.transport is not None:
@@ -147,7 +193,7 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        if self.phase is Phase.DRAINING:
+        if self.phase is Phase.DRAINING or self._overrun:
             return
         if self.phase is Phase.SILENT:
             self._enter(Phase.UNFINISHED, self.finish_by)
@@ -157,8 +203,8 @@
         super().data_received(data)
         if self.phase is Phase.OWED:
             self._ahead += len(data)
-            if self._ahead > MOST_AHEAD and self.transport is not None:
-                self.transport.pause_reading()
+            self._overrun = self._ahead > MOST_AHEAD  # not read on, its leaving could not be seen either
+            self._look_for_end()
         if self.phase is not Phase.UNFINISHED or self._pending:
             self._head = 0
             return
@@ -197,13 +243,13 @@
         """Write an answer; after an error, take what the client still sends before the connection closes."""
         faulty = 400 <= resp.status < 500 and not isinstance(resp, Understood)
         faulty = faulty or not request.content.is_eof()
-        if faulty:  # whatever follows on this connection can't be trusted to be a request
+        if faulty or self._overrun:  # whatever follows here can't be trusted to be a request, or was dropped
             resp.force_close()
-            self._owner.counts["bad requests"] += 1
+            self._owner.counts["bad requests" if faulty else "too much sent ahead"] += 1
         self._enter(Phase.OWED, self._loop.time() + TAKEN_WITHIN)
         result = await super().finish_response(request, resp, start_time)
         self._answered += 1
-        if faulty and self.transport is not None and not self.ended:
+        if (faulty or self._overrun) and self.transport is not None and not self.ended:
             self._drained = self._loop.create_future()
             self._drain()
             await self._drained
@@ -213,14 +259,14 @@
 
     def _rest(self) -> None:
         now = self._loop.time()
-        if self._ahead > MOST_AHEAD and self.transport is not None:
-            self.transport.resume_reading()
         self._ahead = 0
         if self._pending:  # the next request came before its turn
             self.finish_by = now + REQUEST_WITHIN
             self._enter(Phase.UNFINISHED, self.finish_by)
         else:
             self._enter(Phase.KEPT, now + KEPT_FOR)
+            if self._winding_down:  # that answer was worded before the end began
+                self._loop.call_soon(self.wind_down)
 
     def _reject(self, status: HTTPStatus) -> None:
         """An error for what never became a request, so that the library has nothing to answer."""
--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -7,12 +7,14 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Iterable, Iterator
 from contextlib import contextmanager, nullcontext
+from dataclasses import replace
 
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
 
 from ..core.req import Kind
 from ..core.scheduler import Scheduler
+from ..listeners.ends import peer_ended, unread
 from .connection import Connection, Phase
 from .limits import MOST_BODY, REQUEST_WITHIN, SHORT, SLOW, STRANGERS_SHARE, UNUSED, YOUNG
 from .wording import STATUS, Fault, answer_headers, read_class, read_req, read_target, single
@@ -20,7 +22,6 @@
 log = logging.getLogger("oxbowyard.clients")
 
 FULL_RETRY_AFTER = "1.000"  # seconds, when the bodies held allow no more
-LONGEST_END = 60.0  # seconds that a connection may still take for its answer when all are closed
 
 # Who goes first when room is needed, each after so long in its phase; of several, the one longest in it.
 # Never one whose answer is owed. A stranger is silent or has asked for /up alone; clients bring reqs at once.
@@ -85,7 +86,7 @@
         self._waiting = waiting
         self._closing = False
         self._open: dict[Connection, None] = {}  # oldest first
-        self._ending: dict[Connection, asyncio.Task[None]] = {}
+        self._emptied: asyncio.Future[None] | None = None  # awaited when all are to end
         self.counts: Counter[str] = Counter()  # of what no line is logged for
         self.server = web.Server(
             self._handle,
@@ -101,6 +102,8 @@
     def left(self, connection: Connection) -> None:
         """A connection has ended."""
         self._open.pop(connection, None)
+        if not self._open and self._emptied is not None and not self._emptied.done():
+            self._emptied.set_result(None)
 
     @property
     def free(self) -> int:
@@ -119,21 +122,15 @@
     def _close_one(self, order: Iterable[tuple[Callable[[Connection], bool], float]], now: float) -> bool:
         for may_go, after in order:
             least = min((c for c in self._open if may_go(c)), key=lambda c: c.since, default=None)
-            if least is not None and now - least.since >= after:
+            # What has come on it is read first: closed now, a whole request would be reset unheard.
+            heard = least is None or least.phase is Phase.DRAINING or not unread(least.transport)
+            if least is not None and now - least.since >= after and heard:
                 self.counts["closed for room"] += 1
                 least.yield_place()
                 self.left(least)
                 return True
         return False
 
-    def _end(self, connection: Connection, within: float) -> None:
-        # Only both together do: close() alone leaves an idle connection open, and shutdown()
-        # alone waits on an idle connection as if it were busy.
-        connection.close()
-        task = asyncio.create_task(connection.shutdown(within))
-        self._ending[connection] = task
-        task.add_done_callback(lambda _: self._ending.pop(connection, None))
-
     def wind_down(self) -> None:
         """From now on each answer closes its connection."""
         self._closing = True
@@ -143,17 +140,25 @@
         self._closing = False
 
     def close_idle(self) -> None:
-        """Close the connections kept between requests. One whose next request is on its way at this moment
-        is sent again by its client: a close between requests is allowed, and the window is a round trip."""
-        for connection in [c for c in self._open if c.phase is Phase.KEPT]:
+        """Close the connections kept between requests, but those on which the next one has come by now. One
+        that crosses the close is sent again by its client: a close between requests is allowed."""
+        for connection in [c for c in self._open if c.phase is Phase.KEPT and not unread(c.transport)]:
             connection.force_close()
 
     async def close(self, within: float) -> None:
-        """Close every connection once the answer on it, if one is owed, is written."""
+        """Close every connection once nothing is owed on it: the answers are written, and what has come
+        unread is read and answered. No new one may come by now."""
         for connection in list(self._open):
-            if connection not in self._ending:
-                self._end(connection, within)
-        await asyncio.gather(*self._ending.values(), return_exceptions=True)
+            connection.wind_down()
+        try:
+            async with asyncio.timeout(within):
+                while self._open:
+                    self._emptied = asyncio.get_running_loop().create_future()
+                    await self._emptied
+        except TimeoutError:
+            log.error("%d connections cut off with an answer owed", len(self._open))
+            for connection in list(self._open):
+                connection.force_close()
 
     async def _handle(self, request: BaseRequest) -> web.StreamResponse:
         try:
@@ -197,11 +202,18 @@
     with bodies.hold(size) if bodies else nullcontext():
         payload = await read_body(request)
         req = read_req(request.method, request.raw_path, request.headers, payload, classes)
-        answer = await scheduler.serve(req)
+        answer = await scheduler.serve(replace(req, wanted=lambda: _stays(request)))
     body = answer.body if answer.kind is Kind.SERVED else answer.reason.encode()
     return web.Response(status=STATUS[answer.kind], headers=answer_headers(answer), body=body)
 
 
+def _stays(request: BaseRequest) -> bool:
+    connection = request.protocol
+    if isinstance(connection, Connection):
+        return connection.stays()
+    return not peer_ended(connection.transport)
+
+
 def fault_response(request: BaseRequest, fault: Fault) -> web.Response:
     """The 4xx for what is no proper request."""
     response = web.Response(status=fault.status, text=fault.text + "\n")
--- a/oxbowyard/core/req.py
+++ b/oxbowyard/core/req.py
@@ -69,6 +69,14 @@
     grant: Callable[[str, Callable[[], None]], None] | None = None
     on_running: Callable[[bool], None] | None = None  # told when a backend starts it, and when that ends
     on_note: Callable[[Note], None] | None = None  # told what a backend says before the end
+    # Asked by a transport just before the last byte: whether somebody still waits for the answer. A front
+    # sets it whose clients may leave; a job that was promised to outlive its client has none.
+    wanted: Callable[[], bool] | None = None
+
+
+def is_wanted(req: Req) -> bool:
+    """Whether the req may still be sent on for its client."""
+    return req.wanted is None or req.wanted()
 
 
 async def granted(req: Req, backend: str) -> None:
--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -37,7 +37,7 @@
 log = logging.getLogger("oxbowyard.core")
 
 ANSWER_AHEAD = 0.010  # seconds before its deadline that a req is answered: the answer has to travel
-MAX_FETCHES = 3  # whatever the settings allow, a req is never fetched more often
+MAX_FETCHES = 16  # a limit of our own, past all settings met: a fault in the decisions must have an end
 NO_END_SEEN = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 NEVER_RAN = (Result.FULL, Result.UNREACHABLE, Result.NOT_SENT)
 BUSY_RETRY_AFTER = 1.0  # seconds, with the refusal of a req that found no room
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -144,7 +144,7 @@
             await self.waiting.idle()
         await self.scheduler.idle()
         if self.gearman:
-            self.gearman.close()
+            await self.gearman.close()
         for chore in self._chores:
             chore.cancel()
         await asyncio.gather(*self._chores, return_exceptions=True)
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -276,10 +276,11 @@
         if self._parts.waiting is not None:  # the waiting room holds its classes from the start
             return (*fixed, "settings.lanes") if settings.classes != self._in_force.classes else fixed
         step = retune(self._in_force, settings)
+        if self._settling is not None:  # also where this file undoes the one before: its step must not come
+            self._settling.cancel()
+            self._settling = None
         if step.after == self._in_force:
             return fixed
-        if self._settling is not None:
-            self._settling.cancel()
         self._take_settings(step.meanwhile)
         self._settling = asyncio.get_running_loop().call_later(SETTLE, self._take_settings, step.after)
         names = ", ".join(c.name for c in step.after.classes)
@@ -305,7 +306,7 @@
         await asyncio.sleep(ACCEPT_ON)
         self._enter(State.FINISHING)
         if self._gate is not None:
-            self._gate.close()
+            await self._gate.shut()
         if self._parts.gearman:
             self._parts.gearman.wind_down()
         await self._sessions.close(self._longest + 1.0)
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -7,6 +7,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 
+from ..listeners.ends import peer_ended
 from ..listeners.gate import Gate
 from ..waiting.order import End
 from .admin import Admin
@@ -25,6 +26,7 @@
 )  # fmt: skip
 READ_AT_ONCE = 16 * 1024  # bytes taken from one peer before the others have their turn: some 1,300 packets
 DRAIN_WITHIN = 2.0  # seconds after an error that ends a connection, for what the peer still sends
+FLUSH_WITHIN = 2.0  # seconds at the program's end for peers to read their last answers
 MOST_NAME = 512  # bytes of a function's name or a client's id: they are remembered
 UNREAD_PACKETS = 4  # a peer that leaves so many of the largest packets unread is cut off
 
@@ -165,6 +167,10 @@
             log.warning("connection from %s cut off: it does not read", self.address)
             self._transport.abort()
 
+    def stays(self) -> bool:
+        """Whether the peer is still there, also where its end was not read yet."""
+        return not peer_ended(self._transport)
+
     def close(self) -> None:
         """Close once all is written."""
         if self._transport is not None:
@@ -251,6 +257,7 @@
         self._admin = Admin(config, jobs, workers)
         self._connections: dict[Connection, None] = {}  # oldest first
         self._gate: Gate | None = None
+        self._emptied: asyncio.Future[None] | None = None  # awaited when all are to end
         self.free = 1  # one at a time: `admit` knows what to say to the one too many
         self.counts: Counter[str] = Counter()  # of what no line is logged for
 
@@ -285,6 +292,8 @@
     def release(self, connection: Connection) -> None:
         """A connection ended."""
         self._connections.pop(connection, None)
+        if not self._connections and self._emptied is not None and not self._emptied.done():
+            self._emptied.set_result(None)
 
     def admin_answer(self, line: str) -> str:
         """What an operator's line gets."""
@@ -297,7 +306,10 @@
         if self._gate is not None:
             self._gate.close()
 
-    def close(self) -> None:
-        """Close all connections."""
+    async def close(self) -> None:
+        """Close all connections; those who are slow to read what was written last have some time for it."""
         for connection in list(self._connections):
             connection.close()
+        if self._connections:
+            self._emptied = asyncio.get_running_loop().create_future()
+            await asyncio.wait({self._emptied}, timeout=FLUSH_WITHIN)
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -60,6 +60,9 @@
     def send(self, data: bytes) -> None:
         """Write to the client."""
 
+    def stays(self) -> bool:
+        """Whether the client is still there."""
+
     def defer(self) -> None:
         """Take nothing more from the client until an answer is sent."""
 
@@ -81,6 +84,10 @@
     running: bool = False
     done: tuple[bytes, bytes] = (b"0", b"0")  # numerator and denominator, as the worker gave them
 
+    def wanted(self) -> bool:
+        """Whether it was left here to run, or somebody still waits for it."""
+        return self.background or any(waiter.stays() for waiter in self.waiters)
+
     def tell(self, data: bytes) -> None:
         """Write to all who wait."""
         for waiter in list(self.waiters):
@@ -241,6 +248,7 @@
             extras={"unique": job.unique.decode("latin-1"), "priority": str(priority)},
             on_running=lambda running: self._running(job, running),
             on_note=lambda note: self._note(job, note),
+            wanted=job.wanted,
         )
 
     async def _serve(self, job: Job, req: Req) -> None:
--- a/oxbowyard/gearman/workers.py
+++ b/oxbowyard/gearman/workers.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..core.req import Ending, FetchNotes, Note, NoteKind, Req
+from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, is_wanted
 from ..decision.facade import Readiness, Result, Scope, WorkerInfo
 from ..waiting.order import AGED
 from .config import KIND, GearmanConfig
@@ -188,6 +188,8 @@
     def grab(self, worker: Worker, type_: Type) -> None:
         """Hand out the next job picked for this worker."""
         worker.asleep = False
+        for picked in worker.picked:
+            _end_unwanted(picked)
         job = min((j for j in worker.picked if not j.ending.done()), key=lambda j: j.order, default=None)
         if job is None:
             worker.line.send(encode(Type.NO_JOB))
@@ -200,6 +202,7 @@
             job.req.grant(worker.name, lambda: self._assign(worker, type_, job))
 
     def _assign(self, worker: Worker, type_: Type, job: _HandOut) -> None:
+        _end_unwanted(job)
         if job.ending.done():  # called off before it was sent: the worker still waits for an answer
             worker.out.pop(job.handle, None)
             worker.line.send(encode(Type.NO_JOB))
@@ -234,6 +237,12 @@
         return not (late and type_ in ENDS)
 
 
+def _end_unwanted(job: _HandOut) -> None:
+    """Nobody waits for it any more, though the loop may not have read that yet."""
+    if not job.ending.done() and not is_wanted(job.req):
+        job.end(Ending(Result.NOT_SENT, reason="its client left"))
+
+
 def _assign(type_: Type, job: _HandOut) -> bytes:
     function, unique = job.req.target.encode(), job.req.extras.get("unique", "").encode("latin-1")
     if type_ is Type.GRAB_JOB_UNIQ:
--- a/oxbowyard/listeners/gate.py
+++ b/oxbowyard/listeners/gate.py
@@ -45,58 +45,64 @@
         )
         self._listener.setblocking(False)
         self._sessions = sessions
-        self._task: asyncio.Task[None] | None = None
+        self._loop = asyncio.get_running_loop()
+        self._pause: asyncio.TimerHandle | None = None
+        self._coming: set[asyncio.Task[object]] = set()  # accepted, and handed to their session in a moment
         log.info("%s listens on %s:%d", front, *self._listener.getsockname()[:2])
 
     def open(self) -> None:
         """Begin to accept."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._pause = None
+        self._loop.add_reader(self._listener, self._ready)
 
     def close(self) -> None:
-        """Accept nothing more."""
-        if self._task is not None:
-            self._task.cancel()
-        self._listener.close()
-
-    async def shut(self) -> None:
         """Accept nothing more, but take first what the system holds for us: closed, it would be reset."""
-        if self._task is not None:
-            self._task.cancel()
         if self._listener.fileno() < 0:
             return
-        waiting = self._waiting(BACKLOG)
+        self._stand_still()
+        self._accept(BACKLOG)
+        self._stand_still()  # it may have wanted to go on later
         self._listener.close()
-        loop = asyncio.get_running_loop()
-        made = (loop.connect_accepted_socket(self._sessions.make_connection, s) for s in waiting)
-        await asyncio.gather(*made, return_exceptions=True)
 
-    async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
+    async def shut(self) -> None:
+        """The same, and wait until those connections have come up."""
+        self.close()
+        while self._coming:
+            await asyncio.wait(self._coming)
+
+    def _ready(self) -> None:
+        """Somebody waits. Accepted in one step: whatever ends the gate, no connection is lost in between."""
+        if self._sessions.free:
+            self._accept(min(AT_ONCE, self._sessions.free))
+        elif not self._sessions.make_room():  # else there is room in the loop's next turn
+            self._stand_still(ROOM_AGAIN)
+
+    def _stand_still(self, seconds: float | None = None) -> None:
+        """Nobody is accepted for so long; for good if it is not said."""
+        self._loop.remove_reader(self._listener)
+        if self._pause is not None:
+            self._pause.cancel()
+        self._pause = None if seconds is None else self._loop.call_later(seconds, self.open)
+
+    def _accept(self, most: int) -> None:
+        for _ in range(most):
             try:
-                first, _ = await loop.sock_accept(self._listener)
+                accepted = self._listener.accept()[0]
+            except BlockingIOError:
+                return
             except OSError as fault:
-                await self._pause(fault)
-                continue
-            while not self._sessions.free:
-                await asyncio.sleep(0 if self._sessions.make_room() else ROOM_AGAIN)
-            accepted = [first, *self._waiting(min(AT_ONCE, self._sessions.free) - 1)]
-            made = (loop.connect_accepted_socket(self._sessions.make_connection, s) for s in accepted)
-            await asyncio.gather(*made, return_exceptions=True)  # one that ended meanwhile is no fault
-
-    def _waiting(self, most: int) -> list[socket.socket]:
-        accepted: list[socket.socket] = []
-        while len(accepted) < most:
-            try:
-                accepted.append(self._listener.accept()[0])
-            except OSError:  # nobody waits; if it is a lack of descriptors, the next round tells
-                break
-        return accepted
-
-    async def _pause(self, fault: OSError) -> None:
-        """Without a descriptor the listener stays readable: trying on at once would take the whole core."""
-        if fault.errno in SHORT:
-            self._sessions.counts["no descriptor"] += 1
-            await asyncio.sleep(ACCEPT_AGAIN)
-        else:  # that client went before it was accepted
-            await asyncio.sleep(0)
+                if fault.errno in SHORT:  # it stays readable: trying on at once would take the whole core
+                    self._sessions.counts["no descriptor"] += 1
+                    self._stand_still(ACCEPT_AGAIN)
+                    return
+                continue  # that client went before it was accepted
+            coming = self._loop.connect_accepted_socket(self._sessions.make_connection, accepted)
+            task: asyncio.Task[object] = self._loop.create_task(coming)
+            self._coming.add(task)
+            task.add_done_callback(self._came)
+
+    def _came(self, task: asyncio.Task[object]) -> None:
+        self._coming.discard(task)
+        fault = None if task.cancelled() else task.exception()
+        if fault is not None and not isinstance(fault, OSError):  # one that ended meanwhile is no fault
+            log.error("a connection did not come up: %r", fault, exc_info=fault)
