A job without a key has no home, and patience counts the aim's growth

Lines at fault: decision/choice.py _patience took half the aim (80 ms there) though the aim grows by twice the job's work; _on_request gave all jobs without a key one key, and so one home that filled to four jobs while others idled. Tests: two in test_choice.py fail without it.

--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -279,7 +279,7 @@
     def _on_request(self, now: float, e: Request) -> None:
         cls = self.classes.get(e.job_class, self.unknown)
         place = (e.key or "", cls.kind)
-        key = self.keys.pop(place, None) or _Key(digest(e.key or ""))
+        key = self.keys.pop(place, None) or _Key(digest(e.key) if e.key else self.salt)
         if len(self.keys) >= LIVE_KEYS:
             self.keys.pop(next(iter(self.keys)))
         self.keys[place] = key
@@ -387,22 +387,23 @@
         members = 0
         others: list[_Worker] = []
         affinity = max(W1_AIM_SHARE * job.cls.aim, self.fetching.more)  # may cost so much waiting
-        first = (key.salt ^ self.salt) % key.size  # dispatchers look at different parts of a wide set
+        size = key.size if key.salt != self.salt else 0  # a job that needs no data has no affinity
+        first = (key.salt ^ self.salt) % max(size, 1)  # dispatchers look at different parts of a wide set
         scan = 2 + round(SCAN * (1 - self.blind))
         for w in self._order(key, job.cls.kind):
             if not self._usable(w, job, now):
                 continue
             members += 1
-            if members <= key.size and self.stands(w, now):
+            if members <= size and self.stands(w, now):
                 w.trial_at = now + TRIAL_MS
                 return w, TRIAL
-            if members > key.size:
+            if members > size:
                 others.append(w)
                 if len(others) == scan:
                     break
-            elif (members - first) % key.size < LOOK and (rank := self._rank(w, job.cls, now)) < best_rank:
+            elif (members - first) % size < LOOK and (rank := self._rank(w, job.cls, now)) < best_rank:
                 best, best_rank = w, rank
-            if members == key.size and best_rank < W2 + affinity / (w.pool.hold or job.cls.aim):
+            if members == size and best_rank < W2 + affinity / (w.pool.hold or job.cls.aim):
                 return best, best_rank
         for w in others + (self._elsewhere(job, now) if len(others) == scan else []):
             if w is best:
@@ -414,7 +415,7 @@
         if spill and (spill_rank < W2 or best and self._hopeless(job, best, best_rank, now)
                       and not self._hopeless(job, spill, spill_rank, now, self.fetching.more)):  # fmt: skip
             return spill, spill_rank
-        return best, best_rank
+        return (best, best_rank) if best else (spill, spill_rank)
 
     def _elsewhere(self, job: _Job, now: float) -> list[_Worker]:
         """Lately good workers and some at random, so that dispatchers do not all spill to the same."""
@@ -776,13 +777,14 @@
         mean = self.holds.of(cls.name)
         seen = [c for c in self.settings.classes if c.name in self.holds]
         earned = sum(c.worth for c in seen)
+        room = HOPELESS * (cls.aim + max(cls.stretch - 1, 0.0) * mean)  # the aim grows with its work
         if not mean or not earned:
-            return HOPELESS * cls.aim
+            return room
         if self.settings.by_work:  # worth is for time in a slot already; the root: no class is to starve
             favour = math.sqrt(cls.worth * len(seen) / earned)
         else:
             favour = cls.worth / mean * sum(self.holds.of(c.name) for c in seen) / earned
-        return HOPELESS * cls.aim * min(max(favour, 1 / FAVOUR_MOST), FAVOUR_MOST)
+        return room * min(max(favour, 1 / FAVOUR_MOST), FAVOUR_MOST)
 
     def _give_up(self, job: _Job, now: float, backoff: float | None = None) -> None:
         """The final answer when none came: refuse only what surely never ran, or may safely run again."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -431,3 +431,23 @@
         a for a in d.handle(9, fw.Outcome("r", 0, home, fw.Result.ERROR, 8)) if isinstance(a, fw.Refuse)
     ]
     assert refusal.backoff == min(most, 200.0)  # half the aim, as long as such a job may wait
+
+
+def test_a_job_that_needs_no_data_goes_where_it_ranks_lowest() -> None:
+    """All such jobs once shared one key and so one home: two to four waited there while others were idle."""
+    d = make()
+    asked = [d.handle(1, fw.Request(f"r{i}", "free", 5000.0)) for i in range(8)]
+    assert sorted(w for actions in asked for w in sends(actions)) == sorted(["w0", "w1", "w2", "w3"] * 2)
+    assert len({sends(ask(d, 2, f"k{i}"))[0] for i in range(3)}) == 1, "a key keeps its home"
+
+
+def test_a_class_whose_aim_grows_with_its_work_may_wait_for_that_too() -> None:
+    """By an aim of 80 ms alone a job of 200 ms was refused for a wait of 40 ms, with which it is in time."""
+    short = fw.JobClass("short", aim=80, deadline=5000, repeat=fw.Repeat.FREE, stretch=2.0)
+    flat = fw.JobClass("flat", aim=80, deadline=5000, repeat=fw.Repeat.FREE)
+    patience = {}
+    for cls in (short, flat):
+        d = make(classes=(cls,))
+        d.holds.add(cls.name, 200.0)
+        patience[cls.name] = d._patience(cls)
+    assert patience == {"short": 140.0, "flat": 40.0}
