--- a/tests/stage.py
+++ b/tests/stage.py
@@ -22,6 +22,7 @@
 from oxbowyard.director.roster import parse_list
 from oxbowyard.gearman import config as gearman
 from oxbowyard.listeners.gate import Gate
+from oxbowyard.waiting.settings import WaitingSettings
 
 HERE = Path(__file__).parent
 SETTINGS: dict[str, Any] = json.loads((HERE / "settings.json").read_text())
@@ -111,7 +112,7 @@
 class Stage:
     """One scheduler with both fronts, one worker, and the test's clients as bare sockets."""
 
-    def __init__(self, folder: Path, **changes: Any) -> None:
+    def __init__(self, folder: Path, waiting: WaitingSettings | None = None, **changes: Any) -> None:
         path = folder / "config.json"
         settings = {**SETTINGS, **changes}
         path.write_text(json.dumps({
@@ -122,8 +123,11 @@
         self.loop = loop
         self.config = load({"LB_CONFIG": str(path)})
         text = (HERE.parent / "deploy/gearman.toml").read_text().replace(":4730", ":0")
-        packets = gearman.parse(tomllib.loads(text), self.config.settings.classes)
-        self.parts = Assembly(self.config, packets)
+        document = tomllib.loads(text)
+        if waiting is not None:  # a job that is refused waits, and is asked again
+            document["functions"]["file_specimen"]["queueing"] = True
+        packets = gearman.parse(document, self.config.settings.classes)
+        self.parts = Assembly(self.config, packets, waiting=waiting)
         self.scheduler = self.parts.scheduler
         self.sessions = ClientSessions(self.scheduler, self.parts.classes, lambda: True, 64, 1 << 24)
         self.gate = Gate("http", "127.0.0.1", 0, self.sessions)
--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -16,15 +16,18 @@
 from oxbowyard.core.req import FetchNotes, Req
 from oxbowyard.decision.facade import Result
 from oxbowyard.gearman.packet import REQ, Type, encode
+from oxbowyard.waiting.settings import WaitingSettings
 
 MANNERS = pytest.mark.parametrize("manner", ["close", "half", "reset"])
 AHEAD = pytest.mark.parametrize("ahead", [0, 400_000])  # bytes
 CLASSES = pytest.mark.parametrize("job_class", ["preview", "accession"])
 
 
-def play(tmp_path: Path, scene: Callable[[Stage], Awaitable[None]]) -> None:
+def play(
+    tmp_path: Path, scene: Callable[[Stage], Awaitable[None]], waiting: WaitingSettings | None = None
+) -> None:
     async def whole() -> None:
-        stage = Stage(tmp_path)
+        stage = Stage(tmp_path, waiting)
         try:
             async with asyncio.timeout(120.0):
                 await scene(stage)
@@ -178,8 +181,9 @@
 
 @MANNERS
 @pytest.mark.parametrize("asleep", [True, False])
+@pytest.mark.parametrize("room", [None, WaitingSettings()])
 def test_a_gearman_job_whose_client_left_is_not_handed_out(
-    tmp_path: Path, manner: str, asleep: bool
+    tmp_path: Path, manner: str, asleep: bool, room: WaitingSettings | None
 ) -> None:
     """The worker asks for it in the very turn in which its client leaves, and is read first."""
 
@@ -199,7 +203,33 @@
         await asyncio.sleep(1.0)
         assert stage.scheduler.open_count == 0
 
-    play(tmp_path, scene)
+    play(tmp_path, scene, room)
+
+
+@MANNERS
+def test_a_job_in_the_waiting_room_ends_with_the_client_it_was_not_to_outlive(
+    tmp_path: Path, manner: str
+) -> None:
+    """It waits for any worker at all; one comes in the turn in which its client leaves."""
+
+    async def scene(stage: Stage) -> None:
+        await stage.begin(listed=False)
+        worker, client = stage.client("gearman"), stage.client("gearman")
+        await turns()
+        client.sendall(_packet(Type.SUBMIT_JOB, b"file_specimen", b"u1", b"sheet"))
+        await turns()
+        worker.sendall(_packet(Type.CAN_DO, b"file_specimen") + _packet(Type.GRAB_JOB))
+        leave(client, manner)
+        got = await stage.read(worker)
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            worker.setblocking(True)
+            worker.sendall(_packet(Type.GRAB_JOB))
+            got += await stage.read(worker)
+        assert got == encode(Type.NO_JOB) * 21
+        assert stage.scheduler.open_count == 0
+
+    play(tmp_path, scene, WaitingSettings())
 
 
 @MANNERS
--- /dev/null
+++ b/tests/test_ends_of_the_program.py
@@ -0,0 +1,94 @@
+"""SIGTERM in every state of the started program, twice, beside SIGHUP: what was taken is answered, exit 0."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import threading
+from pathlib import Path
+
+import pytest
+from player import PATIENCE, Peer, Program
+from stage import SETTINGS, ask
+
+ENTRY = {"uid": "w1", "az": "a", "model": "m", "state": "ready", "boot_ms": 0}
+
+
+def _config(discovery: Peer, **more: object) -> dict[str, object]:
+    return {
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS, **more,
+    }  # fmt: skip
+
+
+def _answer_lists(discovery: Peer, worker: Peer, hold: threading.Event) -> None:
+    """Whole lists to whoever asks for them, once `hold` is set; watches are left waiting."""
+    assert discovery.listener
+    discovery.listener.settimeout(PATIENCE)
+    body = json.dumps({"rev": 1, "all": True, "targets": [{**ENTRY, "endpoint": worker.address}]}).encode()
+    try:
+        while True:
+            side, _ = discovery.listener.accept()
+            head = side.recv(1 << 16)
+            if b"after=" in head or not hold.is_set():
+                hold.wait(PATIENCE)
+                continue
+            side.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    except OSError:
+        return
+
+
+@pytest.mark.parametrize("state", ["starting", "serving", "reloading", "leaving"])
+@pytest.mark.parametrize("signals", ["term", "term term", "hup term", "term hup"])
+def test_sigterm_answers_what_was_taken(tmp_path: Path, state: str, signals: str) -> None:
+    discovery, silent, worker = Peer(True), Peer(True), Peer(True)
+    told = threading.Event()
+    if state != "starting":
+        told.set()
+    threading.Thread(target=_answer_lists, args=(discovery, worker, told), daemon=True).start()
+    config = _config(discovery)
+    program = Program(config, tmp_path, [])
+    client: socket.socket | None = None
+    try:
+        where = program.address("http")
+        client = socket.create_connection(where, PATIENCE)
+        client.settimeout(PATIENCE)
+        program.wait_for("http listens")
+        if state == "starting":  # it has no list: the req is held, and refused before its deadline
+            client.sendall(ask("preview", patience=1.5))
+        else:
+            program.wait_for("-> serving")
+            client.sendall(ask("accession", patience=8.0))
+            worker.accept()
+            assert "hello" in worker.http()  # it runs by now
+        if state == "reloading":
+            (tmp_path / "config.json").write_text(json.dumps(_config(silent)))
+            program.process.send_signal(signal.SIGHUP)
+            program.wait_for("-> reloading")
+        if state == "leaving":
+            program.process.send_signal(signal.SIGTERM)
+            program.wait_for("-> leaving")
+        for name in signals.split():
+            program.process.send_signal(signal.SIGTERM if name == "term" else signal.SIGHUP)
+        program.wait_for("-> finishing")
+        if state != "starting":
+            assert worker.connection
+            line = b'{"id":"a1","state":"done","result":"yes"}'
+            worker.connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(line) + line)
+        got = b""
+        while piece := client.recv(1 << 16):
+            got += piece
+        wanted = b" 503 " if state == "starting" else b" 200 "
+        assert wanted in got and b"Connection: close" in got
+        assert program.process.wait(PATIENCE) == 0, "\n".join(program.lines)
+        assert not [line for line in program.lines if "chore ended" in line or "Traceback" in line]
+    finally:
+        if client is not None:
+            client.close()
+        for peer in (discovery, silent, worker):
+            peer.end()
+            assert peer.listener
+            peer.listener.close()
+        told.set()
+        program.end()
