At the closing gate a crowd takes no more descriptors than there are; a lost address ends the program

Seen on reading the change again, each with a test: Gate.close accepted all that waited, past the limit of descriptors; a connection that had ended while the program wound down was looked at for ever (connection.py wind_down); an old process whose successor died and whose address could not be bound lost the task that follows the hand-over and stayed without clients (program.py _succeed). Ruled out: the answer and the client's leaving in one turn count once in both orders.

--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -164,8 +164,8 @@
         """Close as soon as nothing is owed: a request that has come, read or not, gets its answer first."""
         self._winding_down = True
         young = self.phase is Phase.SILENT and self._loop.time() < self.since + HEARD_WITHIN
-        if self.phase not in (Phase.SILENT, Phase.KEPT):
-            return  # its answer closes it, or its own time
+        if self.phase not in (Phase.SILENT, Phase.KEPT) or self.transport is None:
+            return  # its answer closes it, or its own time; or it is closed
         if young or unread(self.transport):
             self._loop.call_later(LOOK_AGAIN, self.wind_down)
         else:
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -195,12 +195,24 @@
                 await self._further.hand_over()
             elif step is Step.RESUME and self.state is State.HANDING:
                 log.warning("the new process went before it took over: this one takes clients again")
-                self._sessions.wind_up()
-                self._gate = self._client_gate()
-                self._gate.open()
-                self._enter(State.SERVING)
-                await self._further.open()
-                self._further.start()
+                await self._resume()
+
+    async def _resume(self) -> None:
+        try:
+            gate = self._client_gate()
+        except OSError as fault:  # without clients it would stay for nothing: whoever starts it may again
+            log.error("can't take clients again, ending: %s", fault)
+            self._told_to_stop.set()
+            return
+        self._sessions.wind_up()
+        self._gate = gate
+        self._gate.open()
+        self._enter(State.SERVING)
+        try:
+            await self._further.open()
+            self._further.start()
+        except OSError as fault:
+            log.error("goes on without the operators' parts: %s", fault)
 
     def _client_gate(self) -> Gate:
         return Gate("http", self._config.host, self._config.port, self._sessions, shared=True)
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -258,7 +258,6 @@
         self._connections: dict[Connection, None] = {}  # oldest first
         self._gate: Gate | None = None
         self._emptied: asyncio.Future[None] | None = None  # awaited when all are to end
-        self.free = 1  # one at a time: `admit` knows what to say to the one too many
         self.counts: Counter[str] = Counter()  # of what no line is logged for
 
     def listen(self) -> None:
@@ -266,6 +265,11 @@
         self._gate = Gate("gearman", self.config.host, self.config.port, self)
         self._gate.open()
 
+    @property
+    def free(self) -> int:
+        """How many more may come; one always, to whom `admit` says that it is one too many."""
+        return max(self.config.max_connections - len(self._connections), 1)
+
     def make_connection(self) -> asyncio.Protocol:
         """For a new connection."""
         return Connection(self)
--- a/oxbowyard/listeners/gate.py
+++ b/oxbowyard/listeners/gate.py
@@ -60,7 +60,9 @@
         if self._listener.fileno() < 0:
             return
         self._stand_still()
-        self._accept(BACKLOG)
+        places = self._sessions.free  # past them one goes for each that comes: descriptors stay few
+        while self._accept(1) and (places > 1 or self._sessions.make_room()):
+            places -= 1
         self._stand_still()  # it may have wanted to go on later
         self._listener.close()
 
@@ -84,22 +86,24 @@
             self._pause.cancel()
         self._pause = None if seconds is None else self._loop.call_later(seconds, self.open)
 
-    def _accept(self, most: int) -> None:
+    def _accept(self, most: int) -> bool:
+        """Accept so many at most; whether more may wait."""
         for _ in range(most):
             try:
                 accepted = self._listener.accept()[0]
             except BlockingIOError:
-                return
+                return False
             except OSError as fault:
                 if fault.errno in SHORT:  # it stays readable: trying on at once would take the whole core
                     self._sessions.counts["no descriptor"] += 1
                     self._stand_still(ACCEPT_AGAIN)
-                    return
+                    return False
                 continue  # that client went before it was accepted
             coming = self._loop.connect_accepted_socket(self._sessions.make_connection, accepted)
             task: asyncio.Task[object] = self._loop.create_task(coming)
             self._coming.add(task)
             task.add_done_callback(self._came)
+        return True
 
     def _came(self, task: asyncio.Task[object]) -> None:
         self._coming.discard(task)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,13 +12,14 @@
 from pathlib import Path
 
 import pytest
-from stage import HeldLoop, Stage, ask, turns
+from stage import HeldLoop, Stage, ask, leave, turns
 
 from oxbowyard.core.req import Ending, FetchNotes, Req
 from oxbowyard.daemon.program import SETTLE, Program, Read
 from oxbowyard.decision.facade import Result
 from oxbowyard.decision.interface import Repeat
 from oxbowyard.gearman.packet import REQ, Type, encode
+from oxbowyard.listeners.gate import Gate
 
 
 def play(tmp_path: Path, scene: Callable[[Stage], Awaitable[None]]) -> None:
@@ -65,6 +66,38 @@
     play(tmp_path, scene)
 
 
+def test_a_crowd_at_the_closing_gate_takes_no_more_descriptors_than_there_are(tmp_path: Path) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        stage.sessions._most = 8
+        silent = [stage.client() for _ in range(4)]
+        await turns()
+        await asyncio.sleep(0.5)  # these have had their time, and make room
+        clients = [stage.client() for _ in range(40)]
+        for number, client in enumerate(clients):
+            client.sendall(ask("preview", f"a{number}"))
+        stage.gate.close()
+        await turns(4)
+        assert 4 <= len(stage.sessions._open) <= 9
+        await _leave(stage)
+        answered = [c for c in clients if _answered(await _tried(stage, c))]
+        assert 8 <= len(answered) <= 9 and answered == clients[: len(answered)]
+        assert [await _tried(stage, c) for c in silent] == [b""] * 4
+
+    play(tmp_path, scene)
+
+
+async def _tried(stage: Stage, client: socket.socket) -> bytes:
+    try:
+        return await stage.read(client)
+    except ConnectionError:
+        return b""
+
+
+def _answered(got: bytes) -> bool:
+    return got.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+
+
 @pytest.mark.parametrize("between", range(6))
 def test_a_request_that_lies_unread_when_its_connection_is_to_close_is_answered(
     tmp_path: Path, between: int
@@ -181,6 +214,49 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("first", ["answer", "leave"])
+@pytest.mark.parametrize("manner", ["close", "reset"])
+def test_an_answer_and_the_clients_leaving_in_one_turn_are_one_end(
+    tmp_path: Path, first: str, manner: str
+) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        stage.worker.answer = False
+        client = stage.client()
+        client.sendall(ask("accession"))
+        while not stage.worker.ran:
+            await asyncio.sleep(0.001)
+        for what in (first, "leave" if first == "answer" else "answer"):
+            if what == "answer":
+                stage.worker.end(0)
+            else:
+                leave(client, manner)
+        await turns()
+        await asyncio.sleep(1.0)
+        assert sum(stage.parts.measure.answers.values()) == 1
+        assert stage.scheduler.open_count == 0 and stage.worker.ran == 1
+
+    play(tmp_path, scene)
+
+
+def test_a_successor_dies_and_the_address_is_gone(tmp_path: Path) -> None:
+    """The old process can't take clients again: it ends, rather than stay with nobody to serve."""
+
+    async def scene() -> None:
+        config = Stage(tmp_path).config
+        program = Program(lambda: Read(config))
+
+        def taken() -> Gate:
+            raise OSError("address in use")
+
+        program._client_gate = taken  # type: ignore[method-assign]
+        await program._resume()
+        assert program._told_to_stop.is_set()
+
+    with asyncio.Runner(loop_factory=HeldLoop) as runner:
+        runner.run(scene())
+
+
 # ---- Settings ----
 
 
