A figure of the settings that is a text or below 0 is named at the start, null has its default

Seen: each figure of the sample settings replaced in turn by null, texts, lists: connectTimeout null or a text ended the start with a TypeError from Roster and Dispatcher. At fault: decision/facts.py took figures unchecked.

--- a/oxbowyard/decision/facts.py
+++ b/oxbowyard/decision/facts.py
@@ -32,13 +32,19 @@
 
 
 def _at_least_0(table: dict[str, Any], name: str, default: float) -> float:
-    """A number of 0 or more, where it is given."""
-    value = table.get(name, default)
+    """A number of 0 or more; none given, or null: the default, a limit of our own."""
+    value = default if table.get(name) is None else table[name]
+    if value is default:
+        return default
     if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < float("inf"):
         raise ValueError(f"setting {name} is no number of 0 or more: {value!r}")
     return float(value)
 
 
+def _given(table: dict[str, Any]) -> dict[str, Any]:
+    return {name: value for name, value in table.items() if value is not None}
+
+
 def settings_of(facts: dict[str, Any]) -> api.Settings:
     """Translate the start-up settings."""
     limits, rules, family = _need(facts, "policyLimits"), _need(facts, "rules"), facts.get("familyInfo") or {}
@@ -51,6 +57,8 @@
         stretch = lane.get("aimStretch")
         if stretch is None:
             stretch = stretches[i] if i < len(stretches) else 0.0
+        if isinstance(stretch, bool) or not isinstance(stretch, int | float) or not 0 <= stretch < math.inf:
+            raise ValueError(f"setting aimStretch is no number of 0 or more: {stretch!r}")
         classes.append(
             api.JobClass(
                 name=_need(lane, "name"),
@@ -58,10 +66,10 @@
                 deadline=_positive(lane, "deadline"),
                 repeat=api.Repeat(lane.get("semantics") or "single_shot"),
                 group=lane.get("group") or "all",
-                memory=lane.get("memorySpan") or 0.0,
+                memory=_at_least_0(lane, "memorySpan", 0.0),
                 stretch=stretch,
                 worth=_at_least_0(lane, "worth", 1.0),
-                late_worth=lane.get("lateWorth") or 0.0,
+                late_worth=_at_least_0(lane, "lateWorth", 0.0),
                 kind=kinds[kind] if 0 <= kind < len(kinds) else None,
                 streaming=bool(lane.get("streaming")),
                 in_order=bool(lane.get("inOrder")),
@@ -73,32 +81,32 @@
         raise ValueError(f"setting lanes names a class twice: {twice}")
     return api.Settings(
         classes=tuple(classes),
-        siblings=_need(facts, "siblings"),
+        siblings=_positive(facts, "siblings", whole=True),
         zone=facts.get("myZone") or "",
         by_work=facts.get("worthBy") == "work",
         tenants=tuple(api.Tenant(a["name"], a.get("quotaPerS") or 0.0) for a in facts.get("accounts") or []),
-        over_share_worth=facts.get("overShareWorth", 1.0),
+        over_share_worth=_at_least_0(facts, "overShareWorth", 1.0),
         must_subscribe=facts.get("discovery") == "ask",
-        ask_every=rules.get("askEvery") or math.inf,
+        ask_every=_at_least_0(rules, "askEvery", 0.0) or math.inf,
         live_weights=facts.get("weights") == "live",
         tells_start=bool(family.get("tellsStart")),
         in_turn=family.get("queueOrder") == "fifo",
-        progress_every=family.get("progress") or 0.0,
+        progress_every=_at_least_0(family, "progress", 0.0),
         may_probe=bool(limits.get("probes")) and report.get("via") == "pull",
         may_cancel=bool(limits.get("mayCancel")),
         may_copy=bool(limits.get("secondCopies")),
         max_attempts=_positive(limits, "maxAttempts", whole=True),
-        max_backoff=(limits.get("maxRetryAfter") or 0.0) if limits.get("retryAfter") else 0.0,
-        connect_timeout=limits.get("connectTimeout", 250.0),
-        connect_idle=limits.get("connIdle", 60000.0),
-        drain_grace=rules.get("stopSendingWithin") or 0.0,
-        cold_from=rules.get("coldFrom", 1.0),
-        ramp=rules.get("rampTime") or 0.0,
-        tip_multiple=rules.get("tipMultiple", 3.0),
-        tip_after=rules.get("tipAfter", 1000.0),
-        turn_gap=rules.get("turnGap") or 0.0,
-        waste_cost=costs.get("waste") or 0.0,
-        probe_cost=costs.get("probe") or 0.0,
+        max_backoff=_at_least_0(limits, "maxRetryAfter", 0.0) if limits.get("retryAfter") else 0.0,
+        connect_timeout=_positive({"connectTimeout": 250.0, **_given(limits)}, "connectTimeout"),
+        connect_idle=_at_least_0(limits, "connIdle", 60000.0),
+        drain_grace=_at_least_0(rules, "stopSendingWithin", 0.0),
+        cold_from=_at_least_0(rules, "coldFrom", 1.0),
+        ramp=_at_least_0(rules, "rampTime", 0.0),
+        tip_multiple=_at_least_0(rules, "tipMultiple", 3.0),
+        tip_after=_at_least_0(rules, "tipAfter", 1000.0),
+        turn_gap=_at_least_0(rules, "turnGap", 0.0),
+        waste_cost=_at_least_0(costs, "waste", 0.0),
+        probe_cost=_at_least_0(costs, "probe", 0.0),
     )
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,7 +13,7 @@
 import pytest
 from player import ROOT, SETTINGS
 
-from oxbowyard.daemon.config import load
+from oxbowyard.daemon.config import BadConfig, load
 from oxbowyard.director.pace import CallPace
 
 GOOD: dict[str, Any] = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS}
@@ -78,3 +78,27 @@
     assert pace.wait_ms + pace.within(False) * 1000 < 10_000
     assert CallPace(True, 3, Random(1), 4_000.0).wait_ms == 1000
     assert CallPace(False, 3, Random(1), 4_000.0).wait_ms == 2000  # an agent's list is told as it comes
+
+
+FIGURES = [
+    ("policyLimits", "connectTimeout"), ("policyLimits", "connIdle"), ("rules", "stopSendingWithin"),
+    ("rules", "rampTime"), ("rules", "tipAfter"), ("rules", "coldFrom"), ("costs", "waste"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("table", "name"), FIGURES)
+@pytest.mark.parametrize("value", ["soon", [1], -1, True, None, "absent"])
+def test_a_figure_of_a_wrong_type_is_named_and_one_that_lacks_has_a_default(
+    table: str, name: str, value: object, tmp_path: Path
+) -> None:
+    """A text for a figure used to be found by the first req, or by the start, as a fault of ours."""
+    document = json.loads((ROOT / "examples" / "config.json").read_text())
+    document["settings"].setdefault(table, {})[name] = value
+    if value == "absent":
+        del document["settings"][table][name]
+    (tmp_path / "config.json").write_text(json.dumps(document))
+    if value is None or value == "absent":
+        load({"LB_CONFIG": str(tmp_path / "config.json")})
+        return
+    with pytest.raises(BadConfig, match=name):
+        load({"LB_CONFIG": str(tmp_path / "config.json")})
