What lies unread as a connection's time ends is read; a broken entry still ends its worker

Cause, connection: Connection._late closed a silent or unfinished connection without asking whether its request lay unread in that very turn (the look was there for kept ones alone): the close resets it unheard. Now one look more in these phases too, once, so that who drips on is ended all the same. Cause, roster: _entry left out a whole entry for any field that could not be read, also one that says draining or gone: the worker stayed ready for as long as the list stood. Now uid and state bind; the rest of a broken one is passed over. Ruled out: asyncio's order (reads before timers in one turn) covers it only where nothing came since the turn's select; no other place drops an entry (Director.adopt and restore go through parse_list too).

--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -43,6 +43,10 @@
     DRAINING = "draining"  # answered with an error: what still comes is dropped
 
 
+# What has come by the end of its time in one of these is read first: closed over it, the peer would be reset.
+HEARD_OUT = (Phase.SILENT, Phase.UNFINISHED, Phase.KEPT)
+
+
 class Understood(web.Response):
     """A 4xx to a proper request, as one for which there is no room: its connection goes on."""
 
@@ -63,8 +67,8 @@
     """
 
     __slots__ = (
-        "_ahead", "_alarm", "_answered", "_drained", "_head", "_overrun", "_owner", "_winding_down",
-        "ended", "finish_by", "has_asked", "phase", "reading", "since",
+        "_ahead", "_alarm", "_answered", "_drained", "_head", "_looked", "_overrun", "_owner",
+        "_winding_down", "ended", "finish_by", "has_asked", "phase", "reading", "since",
     )  # fmt: skip
 
     def __init__(self, manager: web.Server, owner: Owner) -> None:
@@ -83,6 +87,7 @@
         self._head = 0  # bytes of a head that has no end yet
         self._ahead = 0  # bytes that came before the answer that is owed
         self._drained: asyncio.Future[None] | None = None
+        self._looked = False  # its time in this phase is over, and what lay unread then is being read
         self._winding_down = False
         self._overrun = False  # it sent too much ahead: what follows is dropped, and this answer is its last
         self.reading: StreamReader | None = None
@@ -97,6 +102,7 @@
     def _enter(self, phase: Phase, alarm_at: float | None = None) -> None:
         self.phase = phase
         self.since = self._loop.time()
+        self._looked = False
         if self._alarm is not None:
             self._alarm.cancel()
         self._alarm = None if alarm_at is None else self._loop.call_at(alarm_at, self._late)
@@ -140,7 +146,8 @@
         self._alarm = None
         if self.phase is Phase.UNFINISHED and self._pending:
             return  # its body has a timer of its own, set to the same moment
-        if self.phase is Phase.KEPT and unread(self.transport):
+        if self.phase in HEARD_OUT and not self._looked and unread(self.transport):
+            self._looked = True  # once: who sends on and on without an end is ended all the same
             self._alarm = self._loop.call_later(LOOK_AGAIN, self._late)
             return
         self._owner.counts[f"late while {self.phase.value}"] += self.phase is not Phase.KEPT
--- a/oxbowyard/director/roster.py
+++ b/oxbowyard/director/roster.py
@@ -12,6 +12,7 @@
 log = logging.getLogger("oxbowyard.director")
 
 READINESS = {"ready": Readiness.READY, "draining": Readiness.DRAINING, "gone": Readiness.GONE}
+BROKEN_ENTRY = (LookupError, TypeError, ValueError, OverflowError)  # the last for 1e999, which is JSON
 DRAIN_MARGIN_MS = 150.0  # kept off the drain second: a first byte still travels to its backend
 
 
@@ -50,17 +51,31 @@
     for row in document["targets"]:
         try:
             entries.append(_entry(row))
-        except (LookupError, TypeError, ValueError, OverflowError) as fault:  # 1e999 is JSON
+        except BROKEN_ENTRY as fault:
             log.warning("broken entry in the list of backends left out: %r", fault)
     return Change(rev, bool(document.get("all")), tuple(entries))
 
 
 def _entry(row: dict[str, Any]) -> tuple[str, WorkerInfo]:
-    uid, endpoint, state = row["uid"], row["endpoint"], READINESS[row["state"]]
-    if not (isinstance(uid, str) and uid and isinstance(endpoint, str)):
-        raise ValueError("uid or endpoint is not a text")
+    uid, state = row["uid"], READINESS[row["state"]]
+    if not (isinstance(uid, str) and uid):
+        raise ValueError("uid is not a text")
+    try:
+        return _whole_entry(row, uid, state)
+    except BROKEN_ENTRY as fault:
+        if state is Readiness.READY:
+            raise
+        # That it must not be sent to binds whatever else of its entry can't be read.
+        log.warning("backend %s: %s, the rest of its entry is broken: %r", uid, state.value, fault)
+        return "", WorkerInfo(uid, state)
+
+
+def _whole_entry(row: dict[str, Any], uid: str, state: Readiness) -> tuple[str, WorkerInfo]:
+    endpoint = row["endpoint"]
+    if not isinstance(endpoint, str):
+        raise ValueError("endpoint is not a text")
     host, _, port = endpoint.rpartition(":")
-    if state is not Readiness.GONE and not (host and 0 < int(port) < 65536):
+    if (endpoint or state is not Readiness.GONE) and not (host and 0 < int(port) < 65536):
         raise ValueError(f"endpoint {endpoint!r}")
     info = WorkerInfo(
         uid,
@@ -188,4 +203,4 @@
             return None
         if backend.leaving_since is not None and self._clock() - backend.leaving_since >= self._grace:
             return None
-        return backend.endpoint
+        return backend.endpoint or None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,6 +14,7 @@
 import pytest
 from stage import HeldLoop, Stage, ask, leave, turns
 
+from oxbowyard.clients.connection import Phase
 from oxbowyard.core.req import Ending, FetchNotes, Req
 from oxbowyard.daemon.program import SETTLE, Program, Read
 from oxbowyard.decision.facade import Result
@@ -169,6 +170,42 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("cut", [0, 1, 40])  # bytes that had come before: none, some of the head
+def test_a_request_that_lies_unread_as_its_connections_time_is_over_is_answered(
+    tmp_path: Path, cut: int
+) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        client = stage.client()
+        client.sendall(ask("preview")[:cut])
+        await turns()
+        (connection,) = stage.sessions._open
+        assert connection.phase is (Phase.UNFINISHED if cut else Phase.SILENT)
+        client.sendall(ask("preview")[cut:])
+        connection._late()  # the alarm of this turn, before the loop has read what came in it
+        await asyncio.sleep(1.0)
+        assert b" 200 OK" in await stage.read(client)
+
+    play(tmp_path, scene)
+
+
+def test_who_drips_on_past_its_time_is_ended(tmp_path: Path) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        client = stage.client()
+        client.sendall(b"POST /preview HTTP/1.1\r\n")
+        await turns()
+        (connection,) = stage.sessions._open
+        for _ in range(3):  # something lies unread each time that its time is over
+            if connection.phase is Phase.UNFINISHED:
+                client.sendall(b"X-More: 1\r\n")
+                connection._late()
+                await turns()
+        assert b" 408 " in await stage.read(client)
+
+    play(tmp_path, scene)
+
+
 def test_room_is_not_made_of_a_connection_whose_request_has_come(tmp_path: Path) -> None:
     async def scene(stage: Stage) -> None:
         await stage.begin()
--- a/tests/test_watch_ends.py
+++ b/tests/test_watch_ends.py
@@ -183,6 +183,26 @@
     assert [info.name for _, info in change.entries] == ["w1"]
 
 
+@pytest.mark.parametrize("state", ["draining", "gone"])
+@pytest.mark.parametrize("broken", [
+    {"boot_ms": "soon"}, {"pod_group": [1]}, {"capacity_hint": -1.0}, {"endpoint": None}, {"endpoint": "x"},
+])  # fmt: skip
+def test_that_a_worker_ends_binds_whatever_else_of_its_entry_is_broken(
+    state: str, broken: dict[str, Any]
+) -> None:
+    """The entry used to be left out, and the worker was sent to for as long as the list stood."""
+    now = [0.0]
+    roster = Roster(lambda: now[0], 1000.0)
+    roster.apply(parse_list({"rev": 1, "all": True, "targets": [entry()]}))
+    row = entry(state=state, **broken)
+    roster.apply(parse_list({"rev": 2, "all": False, "targets": [row]}))
+    assert roster.address("w1") == "10.0.0.1:80", "within its grace it may be sent to where it is"
+    now[0] = 1000.0
+    assert roster.address("w1") is None
+    roster.apply(parse_list({"rev": 3, "all": False, "targets": [entry("w3", state, endpoint=None)]}))
+    assert roster.address("w3") is None, "no endpoint is known of it"
+
+
 def test_a_figure_beyond_all_numbers_is_a_broken_entry() -> None:
     row = json.loads(json.dumps(entry("w2", pod_group=0)).replace('"pod_group": 0', '"pod_group": 1e999'))
     change = parse_list({"rev": 1, "all": True, "targets": [row, entry()]})
