Room is not made of a request just read; Gearman peers are not reset over their last answers

Cause, HTTP: ClientSessions._close_one looked for bytes the system holds, not for a request that the loop had read in that very turn and no handler had taken yet (phase still unfinished): yield_place closed it with no answer. Cause, Gearman: make_room ended a silent peer though its first packet lay unread; at the program's end GearmanFront.close closed over what a peer sent meanwhile, and the reset took what its system had not got of its WORK_COMPLETE. On HTTP one request at a time leaves nothing to come after the answer. Tests on real sockets, the crossing forced in the read itself; 4 fail with the mend taken out.

--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -158,6 +158,16 @@
         """A head that was whole has no answer yet."""
         return self._request_count > self._answered
 
+    @property
+    def unheard(self) -> bool:
+        """What has come may be a whole request that nobody took yet: unread, or read in this very turn."""
+        if unread(self.transport):
+            return True
+        if not self._pending or self.phase is not Phase.UNFINISHED:
+            return False
+        body = self.reading or (self._messages[0][1] if self._messages else None)
+        return body is None or body.is_eof()  # none: it is being handed over
+
     def dismiss(self) -> None:
         """End the connection; a client in the middle of its request is told why."""
         if self.phase is Phase.UNFINISHED and not self._pending:
--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -122,8 +122,8 @@
     def _close_one(self, order: Iterable[tuple[Callable[[Connection], bool], float]], now: float) -> bool:
         for may_go, after in order:
             least = min((c for c in self._open if may_go(c)), key=lambda c: c.since, default=None)
-            # What has come on it is read first: closed now, a whole request would be reset unheard.
-            heard = least is None or least.phase is Phase.DRAINING or not unread(least.transport)
+            # What has come on it is read and taken first: closed now, a whole request would be lost unheard.
+            heard = least is None or least.phase is Phase.DRAINING or not least.unheard
             if least is not None and now - least.since >= after and heard:
                 self.counts["closed for room"] += 1
                 least.yield_place()
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -7,7 +7,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 
-from ..listeners.ends import peer_ended
+from ..listeners.ends import peer_ended, unread, unsent_bytes
 from ..listeners.gate import Gate
 from ..waiting.order import End
 from .admin import Admin
@@ -171,6 +171,23 @@
         """Whether the peer is still there, also where its end was not read yet."""
         return not peer_ended(self._transport)
 
+    @property
+    def unheard(self) -> bool:
+        """Something has come from it that was not read yet."""
+        return unread(self._transport)
+
+    def finish(self) -> None:
+        """Nothing more is said to it. Closed over what it still sends, it would be reset, and what its system
+        has not got yet of its last answers would go with that: then its own close is awaited first."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if not unsent_bytes(self._transport):
+            self._transport.close()
+            return
+        self._ended = True
+        self._transport.write_eof()
+        self._transport.resume_reading()
+
     def close(self) -> None:
         """Close once all is written."""
         if self._transport is not None:
@@ -276,7 +293,7 @@
 
     def make_room(self) -> bool:
         """Close the oldest connection that has said nothing whole: no worker or client is among those."""
-        silent = next((c for c in self._connections if c.silent), None)
+        silent = next((c for c in self._connections if c.silent and not c.unheard), None)
         if silent is not None:
             silent.end("CLOSED_FOR_ROOM", "others need the connection")
             silent.close()
@@ -311,9 +328,11 @@
             self._gate.close()
 
     async def close(self) -> None:
-        """Close all connections; those who are slow to read what was written last have some time for it."""
+        """End all connections; the peers have some time to read what was written last, and to close."""
         for connection in list(self._connections):
-            connection.close()
+            connection.finish()
         if self._connections:
             self._emptied = asyncio.get_running_loop().create_future()
             await asyncio.wait({self._emptied}, timeout=FLUSH_WITHIN)
+        for connection in list(self._connections):
+            connection.close()
--- a/oxbowyard/listeners/ends.py
+++ b/oxbowyard/listeners/ends.py
@@ -27,11 +27,20 @@
 
 def unread_bytes(transport: asyncio.BaseTransport | None) -> int:
     """How many bytes have come that the loop has not read yet; 0 as well where the system does not say."""
+    return _counted(transport, termios.FIONREAD)
+
+
+def unsent_bytes(transport: asyncio.WriteTransport) -> int:
+    """How many bytes written to the peer its system does not have yet: a reset would take them away."""
+    return transport.get_write_buffer_size() + _counted(transport, termios.TIOCOUTQ)
+
+
+def _counted(transport: asyncio.BaseTransport | None, what: int) -> int:
     socket = transport.get_extra_info("socket") if transport is not None else None
     if socket is None:
         return 0
     try:
-        return int(struct.unpack("i", fcntl.ioctl(socket.fileno(), termios.FIONREAD, bytes(4)))[0])
+        return int(struct.unpack("i", fcntl.ioctl(socket.fileno(), what, bytes(4)))[0])
     except (OSError, ValueError):
         return 0
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,7 +14,7 @@
 import pytest
 from stage import HeldLoop, Stage, ask, leave, turns
 
-from oxbowyard.clients.connection import Phase
+from oxbowyard.clients.connection import Connection, Phase
 from oxbowyard.core.req import Ending, FetchNotes, Req
 from oxbowyard.daemon.program import SETTLE, Program, Read
 from oxbowyard.decision.facade import Result
@@ -221,7 +221,51 @@
     play(tmp_path, scene)
 
 
-def test_a_gearman_client_has_its_end_before_its_connection(tmp_path: Path) -> None:
+@pytest.mark.parametrize("waits", [False, True])  # for its body, which comes in the turn of the crossing
+def test_room_is_not_made_of_a_request_that_became_whole_in_that_very_turn(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, waits: bool
+) -> None:
+    read = Connection.data_received
+
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        client = stage.client()
+        cut = -3 if waits else 40
+        client.sendall(ask("accession")[:cut])
+        await turns()
+        await asyncio.sleep(1.5)  # it has had its time
+
+        def and_room(connection: Connection, data: bytes) -> None:
+            read(connection, data)
+            assert not stage.sessions.make_room()
+
+        monkeypatch.setattr(Connection, "data_received", and_room)
+        client.sendall(ask("accession")[cut:])
+        await asyncio.sleep(1.0)
+        assert b" 200 OK" in await stage.read(client)
+
+    play(tmp_path, scene)
+
+
+def test_room_is_not_made_of_a_gearman_peer_whose_first_packet_lies_unread(tmp_path: Path) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        gearman = stage.parts.gearman
+        assert gearman
+        peer = stage.client("gearman")
+        await turns()
+        peer.sendall(encode(Type.ECHO_REQ, b"here", magic=REQ))
+        assert not gearman.make_room()
+        assert await stage.read(peer) == encode(Type.ECHO_RES, b"here")
+        silent = stage.client("gearman")
+        await turns()
+        assert gearman.make_room() and b"CLOSED_FOR_ROOM" in await stage.read(silent)
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("sends_on", [False, True])  # closed over what it sends, it would be reset
+def test_a_gearman_client_has_its_end_before_its_connection(tmp_path: Path, sends_on: bool) -> None:
     async def scene(stage: Stage) -> None:
         await stage.begin(listed=False)
         worker, client = stage.client("gearman"), stage.client("gearman")
@@ -241,12 +285,19 @@
         end = asyncio.create_task(stage.parts.close())
         await asyncio.sleep(0.5)
         assert not end.done(), "it has not read its answer yet"
+        if sends_on:
+            client.setblocking(True)
+            client.sendall(encode(Type.ECHO_REQ, b"y" * 1000, magic=REQ))
         got = b""
-        while not end.done():
-            got += await stage.read(client)
+        while piece := await stage.read(client):
+            got += piece
             await asyncio.sleep(0.001)
-        got += await stage.read(client)
         assert got.endswith(b"x" * 262_000)
+        began = stage.loop.time()
+        client.close()
+        worker.close()
+        await end
+        assert stage.loop.time() - began < 0.1, "nobody is left to wait for"
 
     play(tmp_path, scene)
 
