A list of workers out by hand that can't be read puts nobody back in rotation

Cause: HandFile._parse answered with an empty list where the file was cut short, empty or not a list, though its comment said that what is in hand stays; Rotation.follow took that for calls back, and workers under maintenance were sent to. Path.stat on a disk that is gone or not a folder raised out of follow and ended the chore that follows the other process. SIGTERM while handing over is now played too (it was only read).

--- a/oxbowyard/control/rotation.py
+++ b/oxbowyard/control/rotation.py
@@ -30,33 +30,42 @@
         self._seen: tuple[int, int] | None = None  # the file's change time and size when it was read last
 
     def read(self) -> frozenset[str] | None:
-        """What the file names, or None if it has not changed since it was read last."""
+        """What the file names; None if that was read before, or can't be known: what is in hand stays."""
         try:
             status = self.path.stat()
+            seen = (status.st_mtime_ns, status.st_size)
         except FileNotFoundError:
-            status = None
-        seen = (status.st_mtime_ns, status.st_size) if status else (0, 0)
+            if not self.path.parent.is_dir():
+                return None
+            seen = (0, 0)  # none yet, or taken away by whoever wants all back
+        except OSError as fault:
+            if self._seen is not None:  # once, not at every look
+                log.warning("list of backends out by hand not readable: %s", fault)
+            self._seen = None
+            return None
         if seen == self._seen:
             return None
         self._seen = seen
-        return self._parse() if status else frozenset()
+        return self._parse() if seen != (0, 0) else frozenset()
 
-    def _parse(self) -> frozenset[str]:
+    def _parse(self) -> frozenset[str] | None:
         try:
             with self.path.open("rb") as file:
                 found = orjson.loads(file.read(MOST_FILE))
-        except (OSError, ValueError) as fault:  # cut short, or not ours: what is in hand stays
+            if not isinstance(found, list):
+                raise ValueError("no list")
+        except (OSError, ValueError) as fault:  # cut short, or not ours
             log.warning("list of backends out by hand not readable: %s", fault)
-            return frozenset()
-        if not isinstance(found, list):
-            return frozenset()
+            return None
         return frozenset(uid for uid in found[:MOST_OUT] if isinstance(uid, str))
 
-    def change(self, uid: str, out: bool) -> None:
-        """Add or take away one uid, leaving the rest as the file has it now."""
+    def change(self, uid: str, out: bool, in_hand: frozenset[str] = frozenset()) -> None:
+        """Add or take away one uid, leaving the rest as the file has it now, or as it is in hand where the
+        file can't tell."""
         self._seen = None
-        now = self.read() or frozenset()
-        wanted = now | {uid} if out else now - {uid}
+        now = self.read()
+        known = in_hand if now is None else now
+        wanted = known | {uid} if out else known - {uid}
         if wanted == now and self.path.exists():
             return
         part = self.path.with_name(f"{self.path.name}.{os.getpid()}")
@@ -90,14 +99,14 @@
             return
         self._put(uid, out, known_or_not=True)
         if self._file is not None:
-            self._file.change(uid, out)
+            self._file.change(uid, out, self.by_hand)
 
     def out(self, uid: str) -> bool:
         """Out by hand from now on; False for a uid that is not known."""
         if not self._put(uid, True):
             return False
         if self._file is not None:
-            self._file.change(uid, True)
+            self._file.change(uid, True, self.by_hand)
         self.on_change(uid, True)
         return True
 
@@ -106,7 +115,7 @@
         if not self._put(uid, False):
             return False
         if self._file is not None:
-            self._file.change(uid, False)
+            self._file.change(uid, False, self.by_hand)
         self.on_change(uid, False)
         return True
 
--- a/tests/test_ends_of_the_program.py
+++ b/tests/test_ends_of_the_program.py
@@ -11,6 +11,7 @@
 import pytest
 from player import PATIENCE, Peer, Program
 from stage import SETTINGS, ask
+from test_replacement import free_port
 
 ENTRY = {"uid": "w1", "az": "a", "model": "m", "state": "ready", "boot_ms": 0}
 
@@ -39,7 +40,7 @@
         return
 
 
-@pytest.mark.parametrize("state", ["starting", "serving", "reloading", "leaving"])
+@pytest.mark.parametrize("state", ["starting", "serving", "reloading", "handing over", "leaving"])
 @pytest.mark.parametrize("signals", ["term", "term term", "hup term", "term hup"])
 def test_sigterm_answers_what_was_taken(tmp_path: Path, state: str, signals: str) -> None:
     discovery, silent, worker = Peer(True), Peer(True), Peer(True)
@@ -48,7 +49,10 @@
         told.set()
     threading.Thread(target=_answer_lists, args=(discovery, worker, told), daemon=True).start()
     config = _config(discovery)
+    if state == "handing over":  # both processes bind it
+        config["listen"] = f"127.0.0.1:{free_port()}"
     program = Program(config, tmp_path, [])
+    successor: Program | None = None
     client: socket.socket | None = None
     try:
         where = program.address("http")
@@ -66,6 +70,9 @@
             (tmp_path / "config.json").write_text(json.dumps(_config(silent)))
             program.process.send_signal(signal.SIGHUP)
             program.wait_for("-> reloading")
+        if state == "handing over":
+            successor = Program(config, tmp_path, [])
+            program.wait_for("-> handing over")
         if state == "leaving":
             program.process.send_signal(signal.SIGTERM)
             program.wait_for("-> leaving")
@@ -92,3 +99,5 @@
             peer.listener.close()
         told.set()
         program.end()
+        if successor is not None:
+            successor.end()
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -6,9 +6,11 @@
 import os
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 
+import pytest
 from test_core import FREE, ONCE, SETTINGS, Stage, lost
 
 from oxbowyard.control.rotation import HandFile, Rotation
@@ -147,10 +149,62 @@
     assert told[0].readiness is Readiness.DRAINING and roster.address("w1") is None
 
 
-def test_a_file_not_ours_is_nobody_out(tmp_path: Path) -> None:
+def _as_a_folder(path: Path) -> None:
+    path.unlink()
+    path.mkdir()
+
+
+def _disk_as_a_file(path: Path) -> None:
+    path.unlink()
+    path.parent.rmdir()
+    path.parent.write_text("")
+
+
+BREAKS: dict[str, Callable[[Path], object]] = {
+    "cut short": lambda path: path.write_text('["w1'),
+    "empty": lambda path: path.write_text(""),
+    "not ours": lambda path: path.write_text('{"w1": true}'),
+    "a folder": _as_a_folder,
+    "the disk is gone": lambda path: path.parent.rename(path.parent.with_name("gone")),
+    "the disk is a file": _disk_as_a_file,
+}
+
+
+@pytest.mark.parametrize("how", BREAKS)
+def test_a_file_that_cannot_tell_changes_nobody(tmp_path: Path, how: str) -> None:
+    """Whoever is out stays out, who is in stays in, and the next call keeps what is in hand."""
+    path = tmp_path / "disk" / "out.json"
+    path.parent.mkdir()
+    roster = Roster(Clock(), drain_grace=1000.0)
+    roster.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
+    rotation = Rotation(roster, lambda scope, infos: None, HandFile(path))
+    rotation.out("w1")
+    BREAKS[how](path)
+    for _ in range(3):
+        rotation.follow()
+        assert roster.by_hand == {"w1"} and roster.address("w2") is not None
+    assert rotation.out("w2")
+    rotation.follow()
+    assert roster.by_hand == {"w1", "w2"}
+    fresh = Roster(Clock(), drain_grace=1000.0)
+    Rotation(fresh, lambda scope, infos: None, HandFile(path)).follow()
+    assert fresh.by_hand in ({"w1", "w2"}, set()), "all are on record, or it can't be written"
+    assert fresh.by_hand or not path.is_file()
+
+
+def test_a_file_not_ours_puts_nobody_out_and_one_taken_away_puts_all_back(tmp_path: Path) -> None:
     path = tmp_path / "out.json"
     path.write_text('{"w1": tru')
-    assert HandFile(path).read() == frozenset()
+    roster = Roster(Clock(), drain_grace=1000.0)
+    rotation = Rotation(roster, lambda scope, infos: None, HandFile(path))
+    rotation.follow()
+    assert roster.by_hand == set()
+    path.write_text('["w1"]')
+    rotation.follow()
+    assert roster.by_hand == {"w1"}
+    path.unlink()
+    rotation.follow()
+    assert roster.by_hand == set()
 
 
 # ---- A second process on the same address ----
