Calls of a list service that all ask fit the time after which all counts as told

CallPace spread first calls over 0.25 s a sibling, 50 s at 200 schedulers, and the same after a watch died: a scheduler that has not asked for askEvery (10 s) counts as told, and what a silent watch missed does after 6 s. Ruled out: that the service can't bear more. Probes with SPACING 0.05, 0.02 and 0.01: 20 to 100 calls a second from 204 schedulers, none turned down, each answered after 53 ms; 0.25 came from a smaller service, where 6 a second was too much. Tests in virtual time: 200 watches that die at once are all heard within 6 s; fails with the mend out.

--- a/oxbowyard/director/pace.py
+++ b/oxbowyard/director/pace.py
@@ -20,6 +20,11 @@
 COMMON_WITHIN = 2.5  # and for a call that others may wait before: given up sooner, it was served for nothing
 LOST_MARGIN_MS, LEAST_WAIT_MS = 500.0, 1000.0
 DOUBLINGS = 2  # of the span, after as many failures: by then the calls take up a fifth of its time
+# However many schedulers there are, a watch that dies is begun anew within its 6 s: a service that bears no
+# such crowd turns it down, and then all make room for each other.
+SOON, SOON_GROWS = 1.5, 4.0
+# Without a watch, what is as old as `ask_every` counts as told, and four times as old after a failed call.
+FAILED_LASTS = 4.0
 
 
 @dataclass(slots=True)
@@ -36,6 +41,7 @@
     random: Random
     ask_every: float = math.inf  # milliseconds without a call after which all counts as told
     failures: int = 0
+    _soon: float = math.inf  # seconds over which the next call is spread at most, after a watch that died
 
     def within(self, going: bool) -> float:
         """Seconds past its wait that a call is given; `going` says that it goes on with a watch."""
@@ -53,17 +59,29 @@
 
     def first(self) -> float:
         """Seconds to wait before the first call, where a list is in hand from before."""
-        return self.random.uniform(0.0, self._span) if self.common else 0.0
+        return self.random.uniform(0.0, min(self._span, self._unasked(1.0))) if self.common else 0.0
 
-    def failed(self) -> float:
-        """Seconds to wait now that a call has failed: at the first failure in a row no longer than siblings
-        need to keep apart, since a drain may have been missed."""
-        span, self.failures = self._span, self.failures + 1
-        return max(self.random.uniform(0.0, span), AGENT_PAUSE) if self.common else AGENT_PAUSE
+    def failed(self, going: bool = False, turned_down: bool = False) -> float:
+        """Seconds to wait now that a call has failed. `going`: a watch died with it, and a drain may have
+        been missed; `turned_down`: the service lives, and has more calls than it bears."""
+        if not self.common:
+            self.failures += 1
+            return AGENT_PAUSE
+        self._soon = SOON if going else math.inf if turned_down else self._soon
+        span = min(self._span, self._soon)
+        if not self.failures and not turned_down:  # else it is short: to be heard at all goes first
+            span = min(span, self._unasked(FAILED_LASTS))
+        self.failures += not going
+        self._soon *= SOON_GROWS
+        return max(self.random.uniform(0.0, span), AGENT_PAUSE)
 
     def answered(self) -> None:
         """A call was answered: the next failure is a first one."""
-        self.failures = 0
+        self.failures, self._soon = 0, math.inf
+
+    def _unasked(self, times: float) -> float:
+        """Seconds within which the next call has to be out, before what changed meanwhile counts as told."""
+        return max((times * self.ask_every - LOST_MARGIN_MS) / 1000, AGENT_PAUSE)
 
     @property
     def _span(self) -> float:
--- a/oxbowyard/director/watch.py
+++ b/oxbowyard/director/watch.py
@@ -19,6 +19,10 @@
 log = logging.getLogger("oxbowyard.director")
 
 
+class _TurnedDown(BrokenList):
+    """The service lives, and does not answer this call."""
+
+
 class _Watch:
     """The calls to one address, beginning with the whole list, or with what is newer than the one in hand."""
 
@@ -35,6 +39,7 @@
         self._take = take
         self._rev = rev
         self._silent = False
+        self._turned_down = False  # the last call
         self._going = False  # the last call was answered, and the next one goes on from there
 
     async def run(self) -> None:
@@ -50,8 +55,8 @@
                 if await self._once(session):
                     self._pace.answered()
                 else:
-                    self._going = False
-                    await asyncio.sleep(self._pace.failed())
+                    going, self._going = self._going, False
+                    await asyncio.sleep(self._pace.failed(going, self._turned_down))
 
     async def _once(self, session: aiohttp.ClientSession) -> bool:
         try:
@@ -60,10 +65,11 @@
             self._take(self, change, not self._going)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as fault:
             self._note_silence(fault)
+            self._turned_down = isinstance(fault, _TurnedDown)
             return False
         except Exception:  # guards the watch: without it no drain would ever be told again
             log.exception("fault while taking the list, asking for the whole one: %s", self.address)
-            self._rev = None
+            self._rev, self._turned_down = None, False
             return False
         self._rev, self._going = change.rev, True
         return True
@@ -80,7 +86,7 @@
         ):
             body = await response.read()
         if response.status != 200:
-            raise BrokenList(f"status {response.status}")
+            raise _TurnedDown(f"status {response.status}")
         change = parse_list(orjson.loads(body))
         if self._rev is not None and change.rev < self._rev:
             self._rev = None  # a late answer, or it counts anew: the whole list tells, whatever its version
