Deadlines and a kept connection's end in the turn of their crossing are played, not only read

Need: three rows of the table of endings were read in the code alone. Each is forced now: the deadline before and after the last line in one turn (one end, one answer, no refusal of what ran), a request unread as a kept connection's time is over. No fault was found in them.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -170,6 +170,36 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("first", ["answer", "time"])
+@pytest.mark.parametrize("job_class", ["preview", "accession"])
+def test_a_deadline_in_the_turn_of_the_last_line_is_one_end(
+    tmp_path: Path, first: str, job_class: str
+) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        stage.worker.answer = False
+        client = stage.client()
+        client.sendall(ask(job_class))
+        while not stage.worker.ran:
+            await asyncio.sleep(0.001)
+        (entry,) = stage.scheduler._open.values()
+        if first == "answer":
+            stage.worker.end(0)
+            await turns(2)  # it lies with the loop, and may be read by now
+            stage.scheduler._expire(entry)
+        else:
+            stage.scheduler._expire(entry)
+            stage.worker.end(0)
+        await asyncio.sleep(1.0)
+        assert sum(stage.parts.measure.answers.values()) == 1
+        got = await stage.read(client)
+        assert got.count(b"HTTP/1.1 ") == 1 and stage.scheduler.open_count == 0
+        if job_class == "accession":  # it ran: nobody is told that it did not
+            assert b" 200 OK" in got or b"HTTP/1.1 50" in got and b" 503 " not in got
+
+    play(tmp_path, scene)
+
+
 @pytest.mark.parametrize("cut", [0, 1, 40])  # bytes that had come before: none, some of the head
 def test_a_request_that_lies_unread_as_its_connections_time_is_over_is_answered(
     tmp_path: Path, cut: int
@@ -189,6 +219,26 @@
     play(tmp_path, scene)
 
 
+def test_a_request_that_lies_unread_as_a_kept_connections_time_is_over_is_answered(tmp_path: Path) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        client = stage.client()
+        client.sendall(ask("preview"))
+        await asyncio.sleep(1.0)
+        assert b" 200 OK" in await stage.read(client)
+        (connection,) = stage.sessions._open
+        assert connection.phase is Phase.KEPT
+        client.setblocking(True)
+        client.sendall(ask("preview", "a2"))
+        connection._late()
+        await asyncio.sleep(1.0)
+        assert b" 200 OK" in await stage.read(client)
+        connection._late()
+        assert await stage.read(client) == b"" and not stage.sessions._open, "nothing came: closed"
+
+    play(tmp_path, scene)
+
+
 def test_who_drips_on_past_its_time_is_ended(tmp_path: Path) -> None:
     async def scene(stage: Stage) -> None:
         await stage.begin()
