A repeat is not written after its window, however late its connection or its worker's grab comes

Shown on sockets: a reset 0.9 s into a window of 1 s, the connection up 0.2 s later: written at 1.1 s and run a second time. The core now keeps the time until which a repeat is remembered (FetchNotes.not_after), from when the first attempt that may have run was begun; transports ask just before the last byte, as they ask for the client. Tests: HTTP and Gearman, in and past the window; the two past it fail with the mend out.

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -11,7 +11,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
-from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, granted, is_wanted
+from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, barred, granted
 from ..decision.facade import Result
 from ..director.roster import Roster
 from .lines import MOST_LINES, LineReader, load_header, status_ending
@@ -76,8 +76,8 @@
             response = await self._session.post(
                 url, data=body, headers=_headers(req, notes), allow_redirects=False
             )
-        except _Barred as barred:
-            return Ending(Result.NOT_SENT, reason=str(barred))
+        except _Barred as why:
+            return Ending(Result.NOT_SENT, reason=str(why))
         except (aiohttp.ClientError, OSError) as fault:
             if isinstance(fault.__cause__, _Barred):
                 return Ending(Result.NOT_SENT, reason=str(fault.__cause__))
@@ -100,8 +100,8 @@
             yield req.payload[:-held]
             await asyncio.sleep(LAST_BYTE_AFTER)
         await granted(req, backend)  # before the last byte: a record that comes later may never come
-        if not is_wanted(req):  # a loop held up, or one that does not read, learns of it too late
-            raise _Barred("its client left")
+        if why := barred(req, notes):
+            raise _Barred(why)
         notes.written = True
         yield req.payload[-held:]
         self.relayed[req.job_class] += 1  # the library asks for more once the last piece is written
--- a/oxbowyard/core/req.py
+++ b/oxbowyard/core/req.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -79,6 +80,15 @@
     return req.wanted is None or req.wanted()
 
 
+def barred(req: Req, notes: FetchNotes) -> str:
+    """Why the req's last byte may not be handed over any more, just before it is; empty if it may."""
+    if not is_wanted(req):  # a loop held up, or one that does not read, learns of it too late
+        return "its client left"
+    if asyncio.get_running_loop().time() > notes.not_after:
+        return "too late for a repeat"
+    return ""
+
+
 async def granted(req: Req, backend: str) -> None:
     """Wait until the req may be sent to the backend; at once if nobody keeps a record of it."""
     if req.grant is not None:
@@ -105,6 +115,8 @@
     time_left: float  # seconds that the scheduler will wait
     on_began: Callable[[], None]
     on_note: Callable[[Note], None] = lambda note: None
+    # Loop time until which the last byte may go: later nobody remembers an earlier run that may have been.
+    not_after: float = math.inf
     written: bool = False  # the req's last byte was handed over: from here on it may run
 
 
--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -30,7 +30,7 @@
     Turn,
     WorkerInfo,
 )
-from ..decision.interface import Repeat, Settings
+from ..decision.interface import JobClass, Repeat, Settings
 from .measure import ServiceMeasure
 from .req import Answer, BackendTransport, Ending, FetchNotes, Kind, Note, Ran, Req
 
@@ -51,7 +51,9 @@
     taken_at: float
     deadline: float
     answer: asyncio.Future[Answer]
-    repeatable: bool  # as its class was when it was taken: it keeps that class
+    # Seconds from a first attempt that may have run in which a repeat does no harm; None: it must not be
+    # repeated. As its class was when it was taken: it keeps that class.
+    window: float | None
     most_fetches: int
     alarm: asyncio.TimerHandle | None = None
     fetches: int = 0
@@ -60,6 +62,7 @@
     calling_off: bool = False
     expired: bool = False
     may_have_run: bool = False
+    repeat_by: float = math.inf  # loop time
     may_run_on: bool = False  # no end was seen of a fetch that may have run
     began_at: float | None = None
     ran: float | None = None
@@ -92,7 +95,7 @@
         self._limits = limits
         self._busy_wait = min(BUSY_RETRY_AFTER, settings.max_backoff / 1000)  # none where clients heed none
         self._max_fetches = min(settings.max_attempts, limits.fetches)
-        self._repeatable = {c.name for c in settings.classes if _harmless(c.repeat, c.group)}
+        self._windows = {c.name: _window(c) for c in settings.classes}
         self._open: dict[str, _Open] = {}
         self._open_by_class: Counter[str] = Counter()
         self._listed: dict[str, dict[str, WorkerInfo]] = {}
@@ -122,7 +125,7 @@
     def retune(self, settings: Settings) -> None:
         """Other classes and fetches for the reqs taken from now on; those open keep theirs."""
         self._max_fetches = min(settings.max_attempts, self._limits.fetches)
-        self._repeatable = {c.name for c in settings.classes if _harmless(c.repeat, c.group)}
+        self._windows = {c.name: _window(c) for c in settings.classes}
         self._facade.retune(settings)
         self.measure.retune(settings.classes)
 
@@ -191,8 +194,8 @@
     def _take(self, req: Req) -> _Open:
         now = self._loop.time()
         deadline = now + req.patience
-        repeatable = req.job_class in self._repeatable
-        entry = _Open(req, now, deadline, self._loop.create_future(), repeatable, self._max_fetches)
+        window = self._windows.get(req.job_class)
+        entry = _Open(req, now, deadline, self._loop.create_future(), window, self._max_fetches)
         self._open[req.id] = entry
         self._open_by_class[req.job_class] += 1
         self._idle.clear()
@@ -258,7 +261,7 @@
 
     def _harmless_to_retry(self, entry: _Open) -> bool:
         out = entry.notes is not None and entry.notes.written
-        return entry.repeatable or not (entry.may_have_run or out)
+        return entry.window is not None or not (entry.may_have_run or out)
 
     # ---- Decisions ----
 
@@ -318,7 +321,7 @@
 
     def _fetch(self, entry: _Open, decision: Fetch) -> None:
         left = entry.deadline - ANSWER_AHEAD - self._loop.time()
-        barred = entry.may_have_run and not entry.repeatable
+        barred = entry.may_have_run and entry.window is None
         if entry.answer.done() or entry.task or entry.fetches >= entry.most_fetches or left <= 0 or barred:
             log.warning("req %s: fetch %d to %s not sent", entry.req.id, decision.number, decision.backend)
             entry.fetches += 1
@@ -329,8 +332,9 @@
         entry.began_at = None
         wait = min(left, decision.timeout / 1000) if decision.timeout > 0 else left
         entry.notes = FetchNotes(
-            wait, lambda: self._began(entry, decision), lambda note: self._note(entry, decision, note)
-        )
+            wait, lambda: self._began(entry, decision), lambda note: self._note(entry, decision, note),
+            entry.repeat_by,
+        )  # fmt: skip
         entry.task = self._loop.create_task(self._run(entry.req, decision, entry.notes, wait))
         sent_at = self._loop.time()
         log.debug("fetch %d of req %s (%s) to %s", decision.number, entry.req.id, entry.req.job_class,
@@ -375,7 +379,9 @@
         entry.task, entry.notes = None, None
         if entry.req.on_running and entry.began_at is not None:
             entry.req.on_running(False)
-        entry.may_have_run |= ending.result not in NEVER_RAN
+        if ending.result not in NEVER_RAN and not entry.may_have_run:
+            entry.may_have_run = True
+            entry.repeat_by = sent_at + (math.inf if entry.window is None else entry.window)
         entry.may_run_on |= ending.result in NO_END_SEEN
         if ending.result is not Result.OK:
             log.info(
@@ -412,5 +418,7 @@
     return Answer(kind, b"", retry_after, reason, _ran(entry))
 
 
-def _harmless(repeat: Repeat, group: str) -> bool:
-    return repeat is Repeat.FREE or (repeat is Repeat.GUARDED and group == "all")
+def _window(cls: JobClass) -> float | None:
+    if cls.repeat is Repeat.GUARDED and cls.group == "all":
+        return cls.memory / 1000
+    return math.inf if cls.repeat is Repeat.FREE else None
--- a/oxbowyard/gearman/workers.py
+++ b/oxbowyard/gearman/workers.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, is_wanted
+from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, barred
 from ..decision.facade import Readiness, Result, Scope, WorkerInfo
 from ..waiting.order import AGED
 from .config import KIND, GearmanConfig
@@ -189,7 +189,7 @@
         """Hand out the next job picked for this worker."""
         worker.asleep = False
         for picked in worker.picked:
-            _end_unwanted(picked)
+            _end_barred(picked)
         job = min((j for j in worker.picked if not j.ending.done()), key=lambda j: j.order, default=None)
         if job is None:
             worker.line.send(encode(Type.NO_JOB))
@@ -202,7 +202,7 @@
             job.req.grant(worker.name, lambda: self._assign(worker, type_, job))
 
     def _assign(self, worker: Worker, type_: Type, job: _HandOut) -> None:
-        _end_unwanted(job)
+        _end_barred(job)
         if job.ending.done():  # called off before it was sent: the worker still waits for an answer
             worker.out.pop(job.handle, None)
             worker.line.send(encode(Type.NO_JOB))
@@ -237,10 +237,10 @@
         return not (late and type_ in ENDS)
 
 
-def _end_unwanted(job: _HandOut) -> None:
-    """Nobody waits for it any more, though the loop may not have read that yet."""
-    if not job.ending.done() and not is_wanted(job.req):
-        job.end(Ending(Result.NOT_SENT, reason="its client left"))
+def _end_barred(job: _HandOut) -> None:
+    """Nobody waits for it any more, though the loop may not have read that yet, or its time is over."""
+    if not job.ending.done() and (why := barred(job.req, job.notes)):
+        job.end(Ending(Result.NOT_SENT, reason=why))
 
 
 def _assign(type_: Type, job: _HandOut) -> bytes:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,10 +12,11 @@
 from pathlib import Path
 
 import pytest
-from stage import HeldLoop, Stage, ask, leave, turns
+from stage import SETTINGS, HeldLoop, Stage, ask, leave, turns
 
 from oxbowyard.clients.connection import Connection, Phase
 from oxbowyard.core.req import Ending, FetchNotes, Req
+from oxbowyard.daemon import assembly
 from oxbowyard.daemon.program import SETTLE, Program, Read
 from oxbowyard.decision.facade import Result
 from oxbowyard.decision.interface import Repeat
@@ -395,6 +396,78 @@
         runner.run(scene())
 
 
+# ---- Windows ----
+
+
+def _guarded(window: float) -> list[dict[str, object]]:
+    return [
+        {**lane, "semantics": "guarded", "group": "all", "memorySpan": window} for lane in SETTINGS["lanes"]
+    ]
+
+
+@pytest.mark.parametrize("reset_at", [0.5, 0.9])  # of a window of 1 s
+def test_a_repeat_whose_connection_comes_up_late_is_not_written_after_its_window(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, reset_at: float
+) -> None:
+    """The window was looked at when the worker was chosen; the last byte went once the connection was up."""
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(assembly, "steady_unix_ms", lambda: lambda: loop.time() * 1000)
+        stage = Stage(tmp_path, lanes=_guarded(1000.0))
+        await stage.begin()
+        stage.worker.answer = False
+        client = stage.client()
+        client.sendall(ask("accession"))
+        while not stage.worker.ran:
+            await asyncio.sleep(0.001)
+        sent = stage.loop.time()
+        await asyncio.sleep(reset_at - 0.01)
+        stage.loop.way.clear()
+        stage.worker.writers[0].transport.abort()
+        await turns()
+        again = None
+        while stage.loop.time() < sent + 3.0:
+            if stage.loop.time() > sent + reset_at + 0.2:  # what was chosen by now connected all this time
+                stage.loop.way.set()
+            await asyncio.sleep(0.005)
+            if again is None and stage.worker.ran == 2:
+                again = stage.loop.time() - sent
+        await stage.end()
+        assert again is None if reset_at > 0.7 else again is not None and again < 1.0
+
+    with asyncio.Runner(loop_factory=HeldLoop) as runner:
+        runner.run(scene())
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_repeat_that_a_gearman_worker_asks_for_after_its_window_is_not_handed_out(
+    tmp_path: Path, late: bool
+) -> None:
+    async def scene() -> None:
+        stage = Stage(tmp_path, lanes=_guarded(1000.0))
+        await stage.begin(listed=False)
+        first, second, client = (stage.client("gearman") for _ in range(3))
+        can_do = encode(Type.CAN_DO, b"file_specimen", magic=REQ)
+        first.sendall(can_do)
+        await turns()
+        client.sendall(encode(Type.SUBMIT_JOB, b"file_specimen", b"u1", b"sheet", magic=REQ))
+        await turns()
+        first.sendall(encode(Type.GRAB_JOB, magic=REQ))
+        assert (await stage.read(first)).endswith(b"sheet")
+        second.sendall(can_do)
+        await turns()
+        first.close()  # it may have run
+        await asyncio.sleep(1.2 if late else 0.5)
+        second.sendall(encode(Type.GRAB_JOB, magic=REQ))
+        got = await stage.read(second)
+        assert got == encode(Type.NO_JOB) if late else got.endswith(b"sheet")
+        await stage.end()
+
+    with asyncio.Runner(loop_factory=HeldLoop) as runner:
+        runner.run(scene())
+
+
 # ---- Settings ----
 
 
