--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,9 +12,11 @@
 from pathlib import Path
 
 import pytest
-from stage import HeldLoop, Stage, ask, leave, turns
+from stage import SETTINGS, HeldLoop, Stage, ask, leave, turns
 
+from oxbowyard.clients.connection import Connection, Phase
 from oxbowyard.core.req import Ending, FetchNotes, Req
+from oxbowyard.daemon import assembly
 from oxbowyard.daemon.program import SETTLE, Program, Read
 from oxbowyard.decision.facade import Result
 from oxbowyard.decision.interface import Repeat
@@ -169,6 +171,92 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("first", ["answer", "time"])
+@pytest.mark.parametrize("job_class", ["preview", "accession"])
+def test_a_deadline_in_the_turn_of_the_last_line_is_one_end(
+    tmp_path: Path, first: str, job_class: str
+) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        stage.worker.answer = False
+        client = stage.client()
+        client.sendall(ask(job_class))
+        while not stage.worker.ran:
+            await asyncio.sleep(0.001)
+        (entry,) = stage.scheduler._open.values()
+        if first == "answer":
+            stage.worker.end(0)
+            await turns(2)  # it lies with the loop, and may be read by now
+            stage.scheduler._expire(entry)
+        else:
+            stage.scheduler._expire(entry)
+            stage.worker.end(0)
+        await asyncio.sleep(1.0)
+        assert sum(stage.parts.measure.answers.values()) == 1
+        got = await stage.read(client)
+        assert got.count(b"HTTP/1.1 ") == 1 and stage.scheduler.open_count == 0
+        if job_class == "accession":  # it ran: nobody is told that it did not
+            assert b" 200 OK" in got or b"HTTP/1.1 50" in got and b" 503 " not in got
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("cut", [0, 1, 40])  # bytes that had come before: none, some of the head
+def test_a_request_that_lies_unread_as_its_connections_time_is_over_is_answered(
+    tmp_path: Path, cut: int
+) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        client = stage.client()
+        client.sendall(ask("preview")[:cut])
+        await turns()
+        (connection,) = stage.sessions._open
+        assert connection.phase is (Phase.UNFINISHED if cut else Phase.SILENT)
+        client.sendall(ask("preview")[cut:])
+        connection._late()  # the alarm of this turn, before the loop has read what came in it
+        await asyncio.sleep(1.0)
+        assert b" 200 OK" in await stage.read(client)
+
+    play(tmp_path, scene)
+
+
+def test_a_request_that_lies_unread_as_a_kept_connections_time_is_over_is_answered(tmp_path: Path) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        client = stage.client()
+        client.sendall(ask("preview"))
+        await asyncio.sleep(1.0)
+        assert b" 200 OK" in await stage.read(client)
+        (connection,) = stage.sessions._open
+        assert connection.phase is Phase.KEPT
+        client.setblocking(True)
+        client.sendall(ask("preview", "a2"))
+        connection._late()
+        await asyncio.sleep(1.0)
+        assert b" 200 OK" in await stage.read(client)
+        connection._late()
+        assert await stage.read(client) == b"" and not stage.sessions._open, "nothing came: closed"
+
+    play(tmp_path, scene)
+
+
+def test_who_drips_on_past_its_time_is_ended(tmp_path: Path) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        client = stage.client()
+        client.sendall(b"POST /preview HTTP/1.1\r\n")
+        await turns()
+        (connection,) = stage.sessions._open
+        for _ in range(3):  # something lies unread each time that its time is over
+            if connection.phase is Phase.UNFINISHED:
+                client.sendall(b"X-More: 1\r\n")
+                connection._late()
+                await turns()
+        assert b" 408 " in await stage.read(client)
+
+    play(tmp_path, scene)
+
+
 def test_room_is_not_made_of_a_connection_whose_request_has_come(tmp_path: Path) -> None:
     async def scene(stage: Stage) -> None:
         await stage.begin()
@@ -184,7 +272,51 @@
     play(tmp_path, scene)
 
 
-def test_a_gearman_client_has_its_end_before_its_connection(tmp_path: Path) -> None:
+@pytest.mark.parametrize("waits", [False, True])  # for its body, which comes in the turn of the crossing
+def test_room_is_not_made_of_a_request_that_became_whole_in_that_very_turn(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, waits: bool
+) -> None:
+    read = Connection.data_received
+
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        client = stage.client()
+        cut = -3 if waits else 40
+        client.sendall(ask("accession")[:cut])
+        await turns()
+        await asyncio.sleep(1.5)  # it has had its time
+
+        def and_room(connection: Connection, data: bytes) -> None:
+            read(connection, data)
+            assert not stage.sessions.make_room()
+
+        monkeypatch.setattr(Connection, "data_received", and_room)
+        client.sendall(ask("accession")[cut:])
+        await asyncio.sleep(1.0)
+        assert b" 200 OK" in await stage.read(client)
+
+    play(tmp_path, scene)
+
+
+def test_room_is_not_made_of_a_gearman_peer_whose_first_packet_lies_unread(tmp_path: Path) -> None:
+    async def scene(stage: Stage) -> None:
+        await stage.begin()
+        gearman = stage.parts.gearman
+        assert gearman
+        peer = stage.client("gearman")
+        await turns()
+        peer.sendall(encode(Type.ECHO_REQ, b"here", magic=REQ))
+        assert not gearman.make_room()
+        assert await stage.read(peer) == encode(Type.ECHO_RES, b"here")
+        silent = stage.client("gearman")
+        await turns()
+        assert gearman.make_room() and b"CLOSED_FOR_ROOM" in await stage.read(silent)
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("sends_on", [False, True])  # closed over what it sends, it would be reset
+def test_a_gearman_client_has_its_end_before_its_connection(tmp_path: Path, sends_on: bool) -> None:
     async def scene(stage: Stage) -> None:
         await stage.begin(listed=False)
         worker, client = stage.client("gearman"), stage.client("gearman")
@@ -204,12 +336,19 @@
         end = asyncio.create_task(stage.parts.close())
         await asyncio.sleep(0.5)
         assert not end.done(), "it has not read its answer yet"
+        if sends_on:
+            client.setblocking(True)
+            client.sendall(encode(Type.ECHO_REQ, b"y" * 1000, magic=REQ))
         got = b""
-        while not end.done():
-            got += await stage.read(client)
+        while piece := await stage.read(client):
+            got += piece
             await asyncio.sleep(0.001)
-        got += await stage.read(client)
         assert got.endswith(b"x" * 262_000)
+        began = stage.loop.time()
+        client.close()
+        worker.close()
+        await end
+        assert stage.loop.time() - began < 0.1, "nobody is left to wait for"
 
     play(tmp_path, scene)
 
@@ -257,6 +396,78 @@
         runner.run(scene())
 
 
+# ---- Windows ----
+
+
+def _guarded(window: float) -> list[dict[str, object]]:
+    return [
+        {**lane, "semantics": "guarded", "group": "all", "memorySpan": window} for lane in SETTINGS["lanes"]
+    ]
+
+
+@pytest.mark.parametrize("reset_at", [0.5, 0.9])  # of a window of 1 s
+def test_a_repeat_whose_connection_comes_up_late_is_not_written_after_its_window(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, reset_at: float
+) -> None:
+    """The window was looked at when the worker was chosen; the last byte went once the connection was up."""
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(assembly, "steady_unix_ms", lambda: lambda: loop.time() * 1000)
+        stage = Stage(tmp_path, lanes=_guarded(1000.0))
+        await stage.begin()
+        stage.worker.answer = False
+        client = stage.client()
+        client.sendall(ask("accession"))
+        while not stage.worker.ran:
+            await asyncio.sleep(0.001)
+        sent = stage.loop.time()
+        await asyncio.sleep(reset_at - 0.01)
+        stage.loop.way.clear()
+        stage.worker.writers[0].transport.abort()
+        await turns()
+        again = None
+        while stage.loop.time() < sent + 3.0:
+            if stage.loop.time() > sent + reset_at + 0.2:  # what was chosen by now connected all this time
+                stage.loop.way.set()
+            await asyncio.sleep(0.005)
+            if again is None and stage.worker.ran == 2:
+                again = stage.loop.time() - sent
+        await stage.end()
+        assert again is None if reset_at > 0.7 else again is not None and again < 1.0
+
+    with asyncio.Runner(loop_factory=HeldLoop) as runner:
+        runner.run(scene())
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_repeat_that_a_gearman_worker_asks_for_after_its_window_is_not_handed_out(
+    tmp_path: Path, late: bool
+) -> None:
+    async def scene() -> None:
+        stage = Stage(tmp_path, lanes=_guarded(1000.0))
+        await stage.begin(listed=False)
+        first, second, client = (stage.client("gearman") for _ in range(3))
+        can_do = encode(Type.CAN_DO, b"file_specimen", magic=REQ)
+        first.sendall(can_do)
+        await turns()
+        client.sendall(encode(Type.SUBMIT_JOB, b"file_specimen", b"u1", b"sheet", magic=REQ))
+        await turns()
+        first.sendall(encode(Type.GRAB_JOB, magic=REQ))
+        assert (await stage.read(first)).endswith(b"sheet")
+        second.sendall(can_do)
+        await turns()
+        first.close()  # it may have run
+        await asyncio.sleep(1.2 if late else 0.5)
+        second.sendall(encode(Type.GRAB_JOB, magic=REQ))
+        got = await stage.read(second)
+        assert got == encode(Type.NO_JOB) if late else got.endswith(b"sheet")
+        await stage.end()
+
+    with asyncio.Runner(loop_factory=HeldLoop) as runner:
+        runner.run(scene())
+
+
 # ---- Settings ----
 
 
