The exit waits for the longest deadline that is open, not only for the classes'

Ruled out: bounding the client's deadline at intake, since the answer is due before its deadline and no sooner. Test in virtual time, seen to fail with the mend out.

--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -168,6 +168,12 @@
         """Reqs taken and not yet done with."""
         return len(self._open)
 
+    def longest_left(self) -> float:
+        """Seconds until the last deadline of the reqs that are open; their clients may wait longer than their
+        classes say."""
+        last = max((entry.deadline for entry in self._open.values()), default=0.0)
+        return max(last - self._loop.time(), 0.0)
+
     def open_of(self, classes: Iterable[str]) -> int:
         """The same for some classes."""
         return sum(self._open_by_class[name] for name in classes)
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -321,7 +321,7 @@
             await self._gate.shut()
         if self._parts.gearman:
             self._parts.gearman.wind_down()
-        await self._sessions.close(self._longest + 1.0)
+        await self._sessions.close(max(self._longest, self._parts.scheduler.longest_left()) + 1.0)
         await self._further.close()
         await self._parts.close()
         log.info("last: %s", self._parts.summary())
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -20,6 +20,7 @@
 from oxbowyard.daemon.program import SETTLE, Program, Read
 from oxbowyard.decision.facade import Result
 from oxbowyard.decision.interface import Repeat
+from oxbowyard.director.roster import parse_list
 from oxbowyard.gearman.packet import REQ, Type, encode
 from oxbowyard.listeners.gate import Gate
 
@@ -378,6 +379,36 @@
     play(tmp_path, scene)
 
 
+def test_the_program_waits_for_a_client_that_waits_longer_than_its_class_says(tmp_path: Path) -> None:
+    async def scene() -> None:
+        lanes = [{**lane, "aim": 100.0, "deadline": 500.0} for lane in SETTINGS["lanes"]]
+        stage = Stage(tmp_path, lanes=lanes)
+        program = Program(lambda: Read(stage.config))
+        program._gate = await program._start()
+        worker = await asyncio.start_server(stage.worker.serve, "127.0.0.1", 0)
+        client = socket.create_connection(program._gate._listener.getsockname(), 5.0)
+        client.sendall(ask("accession", patience=9.0))
+        stage.worker.answer = False
+        where = "{}:{}".format(*worker.sockets[0].getsockname()[:2])
+        entry = {"uid": "w1", "endpoint": where, "state": "ready"}
+        change = parse_list({"rev": 1, "all": True, "targets": [entry]})
+        program._parts.scheduler.learn(*program._parts.roster.apply(change))
+        while not stage.worker.ran:
+            await asyncio.sleep(0.001)
+        leaving = asyncio.create_task(program._leave())
+        await asyncio.sleep(4.0)
+        assert not leaving.done()
+        stage.worker.end(0)
+        await leaving
+        assert b" 200 OK" in await stage.read(client)
+        client.close()
+        worker.close()
+        stage.gate.close()
+
+    with asyncio.Runner(loop_factory=HeldLoop) as runner:
+        runner.run(scene())
+
+
 def test_a_successor_dies_and_the_address_is_gone(tmp_path: Path) -> None:
     """The old process can't take clients again: it ends, rather than stay with nobody to serve."""
 
