Reported queues count as waits in a large fleet, and a cold worker is not reckoned as full as the warm

Dispatcher._load took a worker of which nothing was told for as full as the mean whatever its warmth (rank 7.5 for a cold one, 2.3 for a warm one), and _seen, by which a req is refused, knew reports only from weights: 2,021 and 3,051 fetches in 5 s were declined by full workers, refusals came too late. Tests seen to fail with the mend out.

--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -347,12 +347,12 @@
             return w.count
         mean = w.usual.take(w.count, now, MEAN_MS)
         peers = self.settings.siblings - 1
-        usual = peers * self.fleet * self.warmth(w, now)  # peers spare a cold worker too
+        usual = self.warmth(w, now) * (w.pool.jobs or peers * self.fleet)  # peers spare a cold worker too
         if w.pool.jobs:  # a report is soon as old as the jobs it counted
-            told = (w.jobs - w.pool.jobs) * math.exp((w.jobs_at - now) / (w.pool.hold or MEAN_MS))
+            usual += (w.jobs - usual) * math.exp((w.jobs_at - now) / (w.pool.hold or MEAN_MS))
             if now - w.told_at < TOLD_MS:
-                return w.count + max(w.pool.jobs + told - w.jobs_own, 0.0)
-            usual = max(w.pool.jobs + told - w.count, 0.0)
+                return w.count + max(usual - w.jobs_own, 0.0)
+            usual = max(usual - w.count, 0.0)
         return w.count + peers * mean * (1 - self.prior) + usual * self.prior
 
     def _take_stock(self, now: float) -> None:
@@ -371,7 +371,7 @@
         """The wait that own jobs showed there: of the last that started, or of the oldest waiting."""
         pool = w.pool
         usual = pool.wait * self.blind
-        if now - w.told_at < TOLD_MS and pool.hold:
+        if pool.hold and (now - w.told_at < TOLD_MS or self.sparse and pool.jobs and not self.told):
             over = max(self._load(w, now) - pool.slots, 0.0)
             usual = over * pool.hold / (pool.slots * self.warmth(w, now))
         seen = usual + (w.delay - usual) * math.exp((w.delay_at - now) / DELAY_FADES_MS)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -53,6 +53,37 @@
     assert second is not None and (second != home) == live
 
 
+def _reported(waiting: float) -> Dispatcher:
+    """No weights that fall with the load; answers tell of full slots and so many jobs that wait."""
+    d = _dispatcher(live=False)
+    for i in range(60):
+        worker = _ask(d, 10.0 * i, f"r{i}", f"k{i}")
+        assert worker is not None
+        d.handle(10.0 * i + 1, fw.Started(f"r{i}", 0, worker))
+        report = {"free_slots": 4.0 if i == 0 else 0.0, "waiting": waiting}
+        d.handle(10.0 * i + 2, fw.Outcome(f"r{i}", 0, worker, fw.Result.OK, 2.0, True, report))
+    for pool in d.pools.values():
+        pool.hold, pool.slots = 1000.0, 4.0
+    return d
+
+
+@pytest.mark.parametrize(("waiting", "taken"), [(0.0, True), (30.0, False)])
+def test_a_queue_that_reports_tell_of_is_reckoned_as_a_wait(waiting: float, taken: bool) -> None:
+    """Own jobs at a worker are too few to show its queue: thousands were sent to full ones (join+mass)."""
+    d = _reported(waiting)
+    asked = [_ask(d, 5000.0 + i, f"q{i}", f"q{i}") is not None for i in range(40)]
+    assert any(asked) is taken and all(asked) is taken
+
+
+def test_a_cold_worker_is_not_reckoned_to_hold_what_the_warm_ones_do() -> None:
+    """None had told of it yet: it was taken to hold the mean, four times what it bears, and left idle."""
+    d = _reported(4.0)
+    d.handle(700, fw.WorkerList(fw.Scope.CHANGES, (_info("w0", since=700.0),)))
+    d.workers["w0"].jobs_at, d.workers["w0"].count = -float("inf"), 0
+    mean = d.workers["w0"].pool.jobs
+    assert 0 < d._load(d.workers["w0"], 700) < 1.5 * COLD * mean
+
+
 def test_old_weights_of_a_restored_list_are_not_believed() -> None:
     d = _dispatcher()
     home = _ask(d, 1, "r0")
