--- a/benchmarks/crash_points.py
+++ b/benchmarks/crash_points.py
@@ -84,6 +84,7 @@
 before(Recovery, "_put_back", "recovering")
 before(DurableLedger, "record", "before record")
 
+
 def live(order: dict[str, Any]) -> None:
     """The child: becomes the scheduler, or the worker, that was ordered."""
     global AT, NTH
--- a/examples/app.py
+++ b/examples/app.py
@@ -1,6 +1,6 @@
 """An aiohttp application that schedules POST /preview and the like, beside handlers of its own.
 
-    LB_CONFIG=examples/config.json python examples/app.py --port 18081
+LB_CONFIG=examples/config.json python examples/app.py --port 18081
 """
 
 from __future__ import annotations
--- a/examples/one_job.py
+++ b/examples/one_job.py
@@ -1,6 +1,6 @@
 """The whole in one command: a toy worker with its list, the scheduler, and one job served through it.
 
-    python examples/one_job.py
+python examples/one_job.py
 """
 
 from __future__ import annotations
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,6 +1,6 @@
 """A toy scan worker and the list that names it, on one port, to try the scheduler with.
 
-    python examples/toy_server.py --port 18500
+python examples/toy_server.py --port 18500
 """
 
 from __future__ import annotations
--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -197,12 +197,14 @@
     # ---- What the transport tells ----
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A new connection has come up: its request is expected within `REQUEST_WITHIN` seconds."""
         # The transport's own size would let one client hold four times as much at a time, and the loop.
         transport.max_size = READ_AT_ONCE  # type: ignore[attr-defined]
         super().connection_made(transport)
         self._enter(Phase.SILENT, self.finish_by)
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        """The connection has ended; `exc` is None after an orderly close."""
         if self._alarm is not None:
             self._alarm.cancel()
         self._end_drain()
@@ -210,6 +212,7 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
+        """Parse what the client sent; past the limits of `clients.limits` it is rejected."""
         if self.phase is Phase.DRAINING or self._overrun:
             return
         if self.phase is Phase.SILENT:
@@ -231,6 +234,7 @@
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def eof_received(self) -> bool | None:  # type: ignore[override]
+        """The client has closed its side. Returns whether our side stays open for an answer."""
         if self.phase is Phase.DRAINING:
             self._end_drain()
             return False
--- a/oxbowyard/configuration/platform.py
+++ b/oxbowyard/configuration/platform.py
@@ -29,12 +29,16 @@
 
 
 class Limits(Open, frozen=True):
+    """What one process may use of the machine."""
+
     cores: Positive = 1.0  # of one core
     memory_mb: Positive = 192.0
     sockets: Count = 1024  # file descriptors
 
 
 class Target(Open, frozen=True):
+    """One worker in the form in which service discovery lists it."""
+
     uid: str
     endpoint: str  # HOST:PORT, empty for one gone
     state: Literal["ready", "draining", "gone"]
@@ -46,12 +50,16 @@
 
 
 class Known(Open, frozen=True):
+    """A list of workers with its version; `all` says that it is whole."""
+
     rev: int
     targets: list[Target]
     all: bool = True
 
 
 class Lane(Open, frozen=True):
+    """One class of requests: its times, what repeats it allows, and what it is worth."""
+
     name: Annotated[str, msgspec.Meta(min_length=1)]
     aim: Positive  # ms
     deadline: Positive  # ms
@@ -66,6 +74,8 @@
 
 
 class FamilyInfo(Open, frozen=True):
+    """What workers of this kind of service tell, and which class runs on which kind."""
+
     classKind: list[int] = []
     classStretch: list[NotNegative] = []
     tellsStart: bool = False
@@ -74,11 +84,15 @@
 
 
 class LoadReport(Open, frozen=True):
+    """The figures that workers report of their load, and by which way."""
+
     names: list[str] = []
     via: str = ""
 
 
 class PolicyLimits(Open, frozen=True):
+    """What the decisions may do: attempts, probes, second copies, advice to clients."""
+
     maxAttempts: Count
     connectTimeout: Positive = 250.0  # ms
     connIdle: Positive = 60000.0  # ms
@@ -91,6 +105,8 @@
 
 
 class Rules(Open, frozen=True):
+    """The figures of the rules on drains, cold workers and ordered requests."""
+
     stopSendingWithin: NotNegative = 0.0  # ms
     coldFrom: Share = 1.0
     rampTime: NotNegative = 0.0  # ms
@@ -100,11 +116,15 @@
 
 
 class Account(Open, frozen=True):
+    """One tenant, with the requests a second that lie within its share."""
+
     name: str
     quotaPerS: NotNegative = 0.0
 
 
 class Settings(Open, frozen=True):
+    """The object `settings` of the platform's file."""
+
     siblings: Count
     lanes: Annotated[list[Lane], msgspec.Meta(min_length=1)]
     policyLimits: PolicyLimits
--- a/oxbowyard/control/calls.py
+++ b/oxbowyard/control/calls.py
@@ -34,6 +34,7 @@
         self._sources = sources
 
     def __call__(self, method: str, path: str) -> Reply:
+        """Answer one call; an unknown path gets 404, a wrong method 405."""
         if path == READY:
             return _get(method) or self._ready()
         if path == COUNTERS:
--- a/oxbowyard/decision/interface.py
+++ b/oxbowyard/decision/interface.py
@@ -256,7 +256,15 @@
 
 
 Event = (
-    WorkerList | Request | Started | Progress | AnswerBegan | Outcome | ClientGone | ProbeResult | TimerDue
+    WorkerList
+    | Request
+    | Started
+    | Progress
+    | AnswerBegan
+    | Outcome
+    | ClientGone
+    | ProbeResult
+    | TimerDue
     | Troubles
 )
 
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -64,6 +64,7 @@
     # ---- The connection ----
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A new connection has come up; whether a client or a worker, its packets will tell."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         # The transport's own size would let one peer hold the loop for twenty thousand packets.
@@ -113,11 +114,13 @@
             self.worker = None
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended: its foreground jobs and its worker go with it."""
         self._transport = None
         self._expected()
         self._let_go()
 
     def data_received(self, data: bytes) -> None:
+        """Decode packets and text commands, and answer them in order."""
         if self._ended:
             return
         before = self._decoder.held
--- a/oxbowyard/membership/streams.py
+++ b/oxbowyard/membership/streams.py
@@ -62,9 +62,7 @@
         writer = None
         try:
             async with asyncio.timeout(self._within):
-                reader, writer = await asyncio.open_connection(
-                    host, int(port), local_addr=own, limit=1 << 16
-                )
+                reader, writer = await asyncio.open_connection(host, int(port), local_addr=own, limit=1 << 16)
                 writer.write(LENGTH.pack(len(question)) + question)
                 answer = await self._frame(reader)
             if answer is not None:
--- a/oxbowyard/start/disk.py
+++ b/oxbowyard/start/disk.py
@@ -50,9 +50,7 @@
     return listed(Source.DISK, age, found, most, path.name)
 
 
-def write(
-    path: Path, site: str, told_at: float, rev: int, targets: Sequence[Mapping[str, Any]]
-) -> None:
+def write(path: Path, site: str, told_at: float, rev: int, targets: Sequence[Mapping[str, Any]]) -> None:
     """Replace the file; raises OSError, and then the one before is still there, whole."""
     body = orjson.dumps(
         {"format": FORMAT, "site": site, "told_at": told_at, "rev": rev, "targets": list(targets)}
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -512,9 +512,7 @@
         config = Stage(tmp_path).config
         lanes = {c.name: c for c in config.settings.classes}
         loose = replace(lanes["accession"], repeat=Repeat.FREE)
-        loosened = replace(
-            config.settings, classes=tuple({**lanes, "accession": loose}.values())
-        )
+        loosened = replace(config.settings, classes=tuple({**lanes, "accession": loose}.values()))
         read = [config, replace(config, settings=loosened), config]
         program = Program(lambda: Read(read.pop(0) if read else config))
         program._reload()
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -230,8 +230,7 @@
         new = f"n{i}"
         born[new] = at
         change = fw.WorkerList(
-            fw.Scope.CHANGES,
-            (fw.WorkerInfo(NAMES[i], fw.Readiness.GONE), _zoned(f"n{i}", since=at)),
+            fw.Scope.CHANGES, (fw.WorkerInfo(NAMES[i], fw.Readiness.GONE), _zoned(f"n{i}", since=at))
         )
         for d in fleet:
             d.handle(at, change)
