--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -13,7 +13,7 @@
 
 from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, barred, granted
 from ..decision.facade import Result
-from ..director.roster import Roster
+from ..discovery.registry import Registry
 from .lines import MOST_LINES, LineReader, load_header, status_ending
 
 log = logging.getLogger("oxbowyard.backends")
@@ -32,16 +32,16 @@
 
 
 class HttpBackends:
-    """The scan workers of the roster."""
+    """The scan workers of the registry."""
 
     def __init__(
         self,
-        roster: Roster,
+        registry: Registry,
         load_names: Mapping[str, str],
         connect_timeout: float,
         once: Collection[str] = (),
     ) -> None:
-        self._roster = roster
+        self._registry = registry
         self._load_names = load_names
         self.once = once  # classes that must not run twice
         self._tails: set[asyncio.Task[None]] = set()
@@ -67,7 +67,7 @@
 
     async def fetch(self, backend: str, req: Req, notes: FetchNotes) -> Ending:
         """One fetch, from connect to the last line."""
-        address = self._roster.address(backend)
+        address = self._registry.address(backend)
         if address is None:
             return Ending(Result.NOT_SENT, reason="backend is leaving or unknown")
         url = URL(f"http://{address}{req.target}", encoded=True)
@@ -89,7 +89,7 @@
 
         `written` is set before the last byte goes: a break while it is written may leave it sent.
         """
-        if self._roster.address(backend) != address:
+        if self._registry.address(backend) != address:
             # Connecting took long: its drain second has passed, or it is at another address by now.
             raise _Barred("backend left while connecting")
         held = 0
--- a/oxbowyard/control/figures.py
+++ b/oxbowyard/control/figures.py
@@ -8,7 +8,7 @@
 
 from ..core.measure import ServiceMeasure
 from ..core.req import Kind
-from ..director.roster import Roster
+from ..discovery.registry import Registry
 
 NAMES = {Kind.SERVED: "fulfilled", Kind.REFUSED: "throttled", Kind.FAILED: "faulted"}
 
@@ -27,7 +27,7 @@
 
     measure: ServiceMeasure
     relayed: Counter[str]
-    roster: Roster
+    registry: Registry
     files: Files
 
 
@@ -39,8 +39,8 @@
     }
     told["relayed"] = counted.relayed.total()  # of all classes: attempts, not jobs
     told["open_requests"] = open_requests
-    told["registry_entries"] = counted.roster.listed
-    told["out_of_rotation"] = counted.roster.out_by_hand
+    told["registry_entries"] = counted.registry.listed
+    told["out_of_rotation"] = counted.registry.out_by_hand
     told["cfg_accepted"] = counted.files.accepted
     told["cfg_invalid"] = counted.files.invalid
     return told
--- a/oxbowyard/control/rotation.py
+++ b/oxbowyard/control/rotation.py
@@ -10,7 +10,7 @@
 import orjson
 
 from ..decision.facade import Scope, WorkerInfo
-from ..director.roster import Roster
+from ..discovery.registry import Registry
 
 log = logging.getLogger("oxbowyard.control")
 
@@ -79,8 +79,8 @@
 class Rotation:
     """Puts backends out of rotation and back, here and, through the file, in a process beside this one."""
 
-    def __init__(self, roster: Roster, learn: Learn, file: HandFile | None = None) -> None:
-        self._roster = roster
+    def __init__(self, registry: Registry, learn: Learn, file: HandFile | None = None) -> None:
+        self._registry = registry
         self._learn = learn
         self._file = file
         self.on_change: Callable[[str, bool], None] = lambda uid, out: None  # not of what `take` was told
@@ -88,13 +88,13 @@
     @property
     def by_hand(self) -> frozenset[str]:
         """The uids out by hand now."""
-        return frozenset(self._roster.by_hand)
+        return frozenset(self._registry.by_hand)
 
     def take(self, uid: str, out: bool) -> None:
         """What another scheduler was told. One that is not listed yet drains from its first listing."""
-        if out == (uid in self._roster.by_hand):
+        if out == (uid in self._registry.by_hand):
             return
-        if out and len(self._roster.by_hand) >= MOST_OUT:
+        if out and len(self._registry.by_hand) >= MOST_OUT:
             log.error("backend %s: told to drain by another scheduler, but %d are out already", uid, MOST_OUT)
             return
         self._put(uid, out, known_or_not=True)
@@ -123,17 +123,17 @@
         """Take what the other process changed in the file."""
         if self._file is None or (named := self._file.read()) is None:
             return
-        for uid in named - self._roster.by_hand:
+        for uid in named - self._registry.by_hand:
             self._put(uid, True, known_or_not=True)
             self.on_change(uid, True)
-        for uid in self._roster.by_hand - named:
+        for uid in self._registry.by_hand - named:
             self._put(uid, False)
             self.on_change(uid, False)
 
     def _put(self, uid: str, out: bool, known_or_not: bool = False) -> bool:
-        info = self._roster.put_out(uid) if out else self._roster.put_back(uid)
+        info = self._registry.put_out(uid) if out else self._registry.put_back(uid)
         if info is None and known_or_not:  # not listed here yet: it drains from its first listing
-            self._roster.by_hand.add(uid)
+            self._registry.by_hand.add(uid)
             return True
         if info is None:
             return False
--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -129,7 +129,7 @@
         self._facade.retune(settings)
         self.measure.retune(settings.classes)
 
-    def learn(self, scope: Scope, backends: tuple[WorkerInfo, ...], source: str = "director") -> None:
+    def learn(self, scope: Scope, backends: tuple[WorkerInfo, ...], source: str = "discovery") -> None:
         """Take a list, or a change of it. A whole list is whole for its source: others' backends stay."""
         listed = self._listed.setdefault(source, {})
         if scope is not Scope.CHANGES:
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -17,9 +17,9 @@
 from ..core.scheduler import Limits, Scheduler
 from ..decision.facade import Facade
 from ..decision.interface import JobClass, Repeat, Settings
-from ..director.pace import CallPace
-from ..director.roster import Roster
-from ..director.watch import Director
+from ..discovery.call_schedule import CallSchedule
+from ..discovery.registry import Registry
+from ..discovery.watch import DiscoveryClient
 from ..gearman.config import KIND, GearmanConfig
 from ..gearman.front import GearmanFront
 from ..gearman.jobs import Jobs
@@ -59,7 +59,7 @@
 
 
 class Assembly:
-    """A scheduler with its director, its backends and, where asked for, its Gearman front."""
+    """A scheduler with its discovery client, its backends and, where asked for, its Gearman front."""
 
     def __init__(
         self,
@@ -83,10 +83,10 @@
             measured = with_aged(plain, waiting, times=0.0)  # in time is what is so for its own class
             settings = replace(settings, classes=with_aged(plain, waiting))
         self.measure = ServiceMeasure(measured, config.by_work)
-        self.roster = Roster(clock, settings.drain_grace)
+        self.registry = Registry(clock, settings.drain_grace)
         self.room = Room.of(config.sockets, config.most_held, gearman.max_connections if gearman else 0)
         self.backends = HttpBackends(
-            self.roster,
+            self.registry,
             config.load_names,
             settings.connect_timeout,
             frozenset(c.name for c in settings.classes if c.repeat is not Repeat.FREE),
@@ -95,13 +95,13 @@
         transport: BackendTransport = self.backends
         if workers:
             transport = RoutedTransport(self.backends, {KIND: workers})
-        # The director asks for the list, whichever way it comes: the decisions need not.
+        # The discovery client asks for the list, whichever way it comes: the decisions need not.
         facade = Facade(replace(settings, must_subscribe=False), config.seed, clock)
         limits = Limits(open_reqs=self.room.reqs)
         self.scheduler = Scheduler(settings, facade, transport, clock, self.measure, limits)
-        self.director = Director(
-            config.discovery, self.roster, self.scheduler.learn, on_settled,
-            CallPace(settings.must_subscribe, settings.siblings, Random(config.seed), settings.ask_every),
+        self.discovery = DiscoveryClient(
+            config.discovery, self.registry, self.scheduler.learn, on_settled,
+            CallSchedule(settings.must_subscribe, settings.siblings, Random(config.seed), settings.ask_every),
         )  # fmt: skip
         self.waiting: WaitingRoom | None = None
         if waiting is not None:
@@ -124,8 +124,8 @@
 
     def start(self) -> None:
         """Begin to watch the list of backends."""
-        self.director.restore(self.config.known)
-        self.add_chore(self.director.run())
+        self.discovery.restore(self.config.known)
+        self.add_chore(self.discovery.run())
 
     def add_chore(self, chore: Coroutine[Any, Any, None]) -> None:
         """Run something until the end."""
@@ -169,14 +169,14 @@
 
     def reckon(schedulers: int) -> None:
         scheduler.reckon(schedulers)
-        parts.director.reckon(schedulers)
+        parts.discovery.reckon(schedulers)
 
     return MembershipPart(
         settings,
         Offers(
             name=config.name, zone=own.zone, configured=own.siblings, ramp=own.ramp / 1000,
             version=VERSION.rpartition(" ")[2], random=SystemRandom(), clock=parts.clock, state=state,
-            held=lambda: scheduler.open_count, slots=parts.slots, workers=lambda: parts.roster.listed,
+            held=lambda: scheduler.open_count, slots=parts.slots, workers=lambda: parts.registry.listed,
             troubles=scheduler.troubles, hear=scheduler.hear, reckon=reckon,
             drained=lambda: rotation.by_hand, drain=rotation.take,
         ),
@@ -187,20 +187,20 @@
     """Where the first list comes from, as a part of the program."""
     from ..start.part import Offers, StartPart
 
-    director, roster, config = parts.director, parts.roster, parts.config
+    discovery, registry, config = parts.discovery, parts.registry, parts.config
 
     def adopt(document: Mapping[str, Any], cold: bool, newer: bool) -> bool:
-        return director.adopt(document, parts.clock() if cold else None, newer)
+        return discovery.adopt(document, parts.clock() if cold else None, newer)
 
     def told() -> tuple[int, list[dict[str, Any]]] | None:
-        return None if director.told is None else (director.told, roster.document())
+        return None if discovery.told is None else (discovery.told, registry.document())
 
     offers = Offers(
         name=config.name, configured=config.settings.siblings, common=config.settings.must_subscribe,
         random=SystemRandom(), known=config.known, adopt=adopt, told=told, peers=group,
     )  # fmt: skip
     part = StartPart(settings, offers)
-    director.turn, director.on_told = part.turn, part.service_spoke
+    discovery.turn, discovery.on_told = part.turn, part.service_spoke
     return part
 
 
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -106,7 +106,7 @@
             config, self._started.gearman, self._settled, self._started.waiting, self._kept
         )
         hand = HandFile(Path(tempfile.gettempdir()) / f"oxbowyard-{config.name}-out-by-hand.json")
-        self._rotation = Rotation(self._parts.roster, self._parts.scheduler.learn, hand)
+        self._rotation = Rotation(self._parts.registry, self._parts.scheduler.learn, hand)
         self._membership: MembershipPart | None = None
         if self._started.membership is not None:
             self._membership = membership(
@@ -140,7 +140,7 @@
 
     def _control(self) -> Sources:
         parts = self._parts
-        counted = Counted(parts.measure, parts.backends.relayed, parts.roster, self._files)
+        counted = Counted(parts.measure, parts.backends.relayed, parts.registry, self._files)
         return Sources(
             self._is_ready,
             lambda: figures(counted, parts.scheduler.open_count),
@@ -244,11 +244,11 @@
     async def _wait_for_list(self) -> None:
         """Up once discovery has answered; when it is silent, the list kept from before has to do. A discovery
         that many schedulers wait for may be long about it: there the list from before does from the start."""
-        heard = asyncio.ensure_future(self._parts.director.ready.wait())
+        heard = asyncio.ensure_future(self._parts.discovery.ready.wait())
         stop = asyncio.ensure_future(self._told_to_stop.wait())
         try:
             await asyncio.wait({heard, stop}, timeout=LIST_WITHIN, return_when=asyncio.FIRST_COMPLETED)
-            if not self._parts.roster.backends:
+            if not self._parts.registry.backends:
                 await asyncio.wait({heard, stop}, return_when=asyncio.FIRST_COMPLETED)
         finally:
             heard.cancel()
@@ -279,7 +279,7 @@
         self._discovery = config.discovery
         if self.state is State.SERVING:
             self._enter(State.RELOADING)
-        self._parts.director.move(config.discovery)
+        self._parts.discovery.move(config.discovery)
 
     def _retune(self, settings: Settings) -> tuple[str, ...]:
         """New classes and fetches: the stricter of old and new until clients use the new alone. Returns the
--- a/oxbowyard/decision/facade.py
+++ b/oxbowyard/decision/facade.py
@@ -153,7 +153,7 @@
         dispatcher.classes = {c.name: c for c in settings.classes}
 
     def learn(self, scope: Scope, backends: tuple[WorkerInfo, ...]) -> Turn:
-        """Take a list, or a change of it, from the director."""
+        """Take a list, or a change of it, from the discovery client."""
         return self._call(api.WorkerList(scope, backends))
 
     def reckon(self, siblings: int) -> None:
--- a/oxbowyard/director/pace.py
+++ b/oxbowyard/discovery/call_schedule.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(slots=True)
-class CallPace:
+class CallSchedule:
     """Pauses before calls.
 
     An agent on the scheduler's own machine is called again soon: nobody else waits for it. Calls to a
--- a/oxbowyard/director/roster.py
+++ b/oxbowyard/discovery/registry.py
@@ -9,7 +9,7 @@
 
 from ..decision.facade import Readiness, Scope, WorkerInfo
 
-log = logging.getLogger("oxbowyard.director")
+log = logging.getLogger("oxbowyard.director")  # as operators know it
 
 READINESS = {"ready": Readiness.READY, "draining": Readiness.DRAINING, "gone": Readiness.GONE}
 BROKEN_ENTRY = (LookupError, TypeError, ValueError, OverflowError)  # the last for 1e999, which is JSON
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True)
 class Backend:
-    """One backend as the director knows it."""
+    """One backend as the registry knows it."""
 
     uid: str
     endpoint: str
@@ -89,7 +89,7 @@
     return endpoint, info
 
 
-class Roster:
+class Registry:
     """Applies changes and answers for each backend whether it may still be sent to."""
 
     def __init__(self, clock: Callable[[], float], drain_grace: float) -> None:
--- a/oxbowyard/director/watch.py
+++ b/oxbowyard/discovery/watch.py
@@ -1,4 +1,4 @@
-"""Keeps the roster up with discovery by one long poll after the other."""
+"""Keeps the registry up to date by one long poll of the discovery service after the other."""
 
 from __future__ import annotations
 
@@ -13,10 +13,10 @@
 from yarl import URL
 
 from ..decision.facade import Scope, WorkerInfo
-from .pace import CallPace
-from .roster import BrokenList, Change, Roster, parse_list
+from .call_schedule import CallSchedule
+from .registry import BrokenList, Change, Registry, parse_list
 
-log = logging.getLogger("oxbowyard.director")
+log = logging.getLogger("oxbowyard.director")  # as operators know it
 
 
 class _TurnedDown(BrokenList):
@@ -30,7 +30,7 @@
         self,
         address: str,
         take: Callable[[_Watch, Change, bool], None],
-        pace: CallPace,
+        pace: CallSchedule,
         rev: int | None = None,
     ) -> None:
         self.address = address
@@ -112,20 +112,20 @@
     return
 
 
-class Director:
+class DiscoveryClient:
     """The list of backends from the address in force. `learn` is told every change, in order."""
 
     def __init__(
         self,
         address: str,
-        roster: Roster,
+        registry: Registry,
         learn: Callable[[Scope, tuple[WorkerInfo, ...]], None],
         on_settled: Callable[[], None] = lambda: None,
-        pace: CallPace | None = None,
+        pace: CallSchedule | None = None,
     ) -> None:
-        self._pace = pace or CallPace(False, 1, Random(0))
+        self._pace = pace or CallSchedule(False, 1, Random(0))
         self._known: int | None = None  # the version of the list in hand, where a watch may go on from it
-        self._roster = roster
+        self._registry = registry
         self._learn = learn
         self._on_settled = on_settled  # told when the address wanted last has answered
         self._moves: asyncio.Queue[str] = asyncio.Queue()
@@ -151,7 +151,7 @@
         except BrokenList as fault:
             log.warning("known list not usable: %s", fault)
             return
-        self._learn(*self._roster.apply(change, restored=True))
+        self._learn(*self._registry.apply(change, restored=True))
         if self._pace.common and change.entries:  # the whole list costs it twice as much as what is newer
             self._known = change.rev
             self.ready.set()
@@ -169,7 +169,7 @@
             return False
         if not change.entries:
             return False
-        scope, infos = self._roster.apply(replace(change, full=True), restored=True)
+        scope, infos = self._registry.apply(replace(change, full=True), restored=True)
         if since is not None:
             infos = tuple(replace(i, online_since=max(i.online_since, since)) for i in infos)
         self._learn(scope, infos)
@@ -208,7 +208,7 @@
         elif watch is not self._watch:  # it answered in the moment that it was ended
             return
         if change.entries or change.full:
-            scope, infos = self._roster.apply(change, late=late)
+            scope, infos = self._registry.apply(change, late=late)
             # Weights change every second: only a whole list is news by itself, and what moved is told apart.
             level = logging.INFO if change.full else logging.DEBUG
             log.log(level, "list rev %d, %s, %d entries", change.rev, scope.value, len(infos))
--- a/oxbowyard/start/lists.py
+++ b/oxbowyard/start/lists.py
@@ -46,7 +46,7 @@
 
 
 def listed(source: Source, age: float, document: object, most: int, by: str = "") -> Listed:
-    """Look a document through; raises Unusable. Single entries that are broken are left to the roster."""
+    """Look a document through; raises Unusable. Single entries that are broken are left to the registry."""
     if not isinstance(document, Mapping):
         raise Unusable("no list")
     rev, targets = document.get("rev"), document.get("targets")
--- a/oxbowyard/start/part.py
+++ b/oxbowyard/start/part.py
@@ -105,7 +105,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tasks.clear()
 
-    # ---- What the director asks and tells ----
+    # ---- What the discovery client asks and tells ----
 
     async def turn(self) -> None:
         """Wait until this scheduler may ask the service for the first time."""
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -19,7 +19,7 @@
 from oxbowyard.clients.session import ClientSessions
 from oxbowyard.daemon.assembly import Assembly
 from oxbowyard.daemon.config import load
-from oxbowyard.director.roster import parse_list
+from oxbowyard.discovery.registry import parse_list
 from oxbowyard.gearman import config as gearman
 from oxbowyard.listeners.gate import Gate
 from oxbowyard.waiting.settings import WaitingSettings
@@ -150,7 +150,7 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         row = {"uid": "w1", "endpoint": f"{host}:{port}", "az": "a", "model": "m", "state": "ready"}
         change = parse_list({"rev": 1, "all": True, "targets": [row]})
-        self.scheduler.learn(*self.parts.roster.apply(change))
+        self.scheduler.learn(*self.parts.registry.apply(change))
 
     def client(self, front: str = "http") -> socket.socket:
         """A new connection; the system takes it, the loop has not seen it yet."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -10,12 +10,12 @@
 from oxbowyard.backends.http import HttpBackends
 from oxbowyard.core.req import Ending, FetchNotes, Req
 from oxbowyard.decision.facade import Result
-from oxbowyard.director.roster import DRAIN_MARGIN_MS, Roster, parse_list
+from oxbowyard.discovery.registry import DRAIN_MARGIN_MS, Registry, parse_list
 
 
-def listed(roster: Roster, port: int, state: str) -> None:
+def listed(registry: Registry, port: int, state: str) -> None:
     row = {"uid": "w", "endpoint": f"127.0.0.1:{port}", "state": state}
-    roster.apply(parse_list({"rev": 1, "all": True, "targets": [row]}))
+    registry.apply(parse_list({"rev": 1, "all": True, "targets": [row]}))
 
 
 def test_nothing_is_sent_once_the_drain_second_has_passed_while_connecting() -> None:
@@ -29,18 +29,18 @@
 
     async def play() -> Ending:
         server = await asyncio.start_server(taken, "127.0.0.1", 0)
-        roster = Roster(lambda: clock[0], 1000.0)
-        backends = HttpBackends(roster, {}, 250.0)
+        registry = Registry(lambda: clock[0], 1000.0)
+        backends = HttpBackends(registry, {}, 250.0)
         port = server.sockets[0].getsockname()[1]
-        listed(roster, port, "draining")
-        looked = roster.address
+        listed(registry, port, "draining")
+        looked = registry.address
 
         def address(uid: str) -> str | None:  # the first look is before the connect, which takes long
             found = looked(uid)
             clock[0] = 1000.0 - DRAIN_MARGIN_MS
             return found
 
-        roster.address = address  # type: ignore[method-assign]
+        registry.address = address  # type: ignore[method-assign]
         notes = FetchNotes(1.0, lambda: None)
         ending = await backends.fetch("w", Req("r", "preview", 1.0, "/preview", b"body"), notes)
         assert not notes.written
@@ -56,11 +56,11 @@
 
 
 def test_a_backend_that_left_and_came_back_is_sent_to() -> None:
-    roster = Roster(lambda: 5000.0, 1000.0)
-    listed(roster, 1, "gone")
-    assert roster.address("w") == "127.0.0.1:1"  # within the second
-    listed(roster, 2, "ready")
-    assert roster.address("w") == "127.0.0.1:2" and roster.address("x") is None
+    registry = Registry(lambda: 5000.0, 1000.0)
+    listed(registry, 1, "gone")
+    assert registry.address("w") == "127.0.0.1:1"  # within the second
+    listed(registry, 2, "ready")
+    assert registry.address("w") == "127.0.0.1:2" and registry.address("x") is None
 
 
 @pytest.mark.parametrize(
@@ -81,9 +81,9 @@
 
     async def play() -> Ending:
         server = await asyncio.start_server(taken, "127.0.0.1", 0)
-        roster = Roster(lambda: 0.0, 1000.0)
-        listed(roster, server.sockets[0].getsockname()[1], "ready")
-        backends = HttpBackends(roster, {}, 250.0, {"accession"})
+        registry = Registry(lambda: 0.0, 1000.0)
+        listed(registry, server.sockets[0].getsockname()[1], "ready")
+        backends = HttpBackends(registry, {}, 250.0, {"accession"})
         req = Req("r", job_class, 1.0, "/x", b"sheet")
         ending = await backends.fetch("w", req, FetchNotes(1.0, lambda: None))
         await backends.close()
@@ -107,9 +107,9 @@
 
     async def play() -> None:
         server = await asyncio.start_server(taken, "127.0.0.1", 0)
-        roster = Roster(lambda: 0.0, 1000.0)
-        listed(roster, server.sockets[0].getsockname()[1], "ready")
-        backends = HttpBackends(roster, {}, 250.0)
+        registry = Registry(lambda: 0.0, 1000.0)
+        listed(registry, server.sockets[0].getsockname()[1], "ready")
+        backends = HttpBackends(registry, {}, 250.0)
         for _ in range(3):
             notes = FetchNotes(1.0, lambda: None)
             assert (await backends.fetch("w", Req("r", "preview", 1.0, "/x"), notes)).result is Result.OK
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -14,7 +14,7 @@
 from player import ROOT, SETTINGS
 
 from oxbowyard.daemon.config import BadConfig, load
-from oxbowyard.director.pace import CallPace
+from oxbowyard.discovery.call_schedule import CallSchedule
 
 GOOD: dict[str, Any] = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": SETTINGS}
 
@@ -74,10 +74,10 @@
 
 def test_a_lost_watch_is_given_up_before_all_counts_as_told() -> None:
     """Its 8 s and the 2.5 s past them were more than the 10 s after which all counts as told."""
-    pace = CallPace(True, 3, Random(1), 10_000.0)
+    pace = CallSchedule(True, 3, Random(1), 10_000.0)
     assert pace.wait_ms + pace.within(False) * 1000 < 10_000
-    assert CallPace(True, 3, Random(1), 4_000.0).wait_ms == 1000
-    assert CallPace(False, 3, Random(1), 4_000.0).wait_ms == 2000  # an agent's list is told as it comes
+    assert CallSchedule(True, 3, Random(1), 4_000.0).wait_ms == 1000
+    assert CallSchedule(False, 3, Random(1), 4_000.0).wait_ms == 2000  # an agent's list is told as it comes
 
 
 FIGURES = [
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -18,7 +18,7 @@
 from oxbowyard.core.retune import live_part_only, retune
 from oxbowyard.decision.facade import Readiness, WorkerInfo
 from oxbowyard.decision.interface import JobClass, Repeat
-from oxbowyard.director.roster import Change, Roster
+from oxbowyard.discovery.registry import Change, Registry
 from oxbowyard.listeners.gate import Gate
 from oxbowyard.succession.files import STALE, Marks
 from oxbowyard.succession.steps import WAIT_MOST, Step, Succession
@@ -95,38 +95,38 @@
 
 def test_one_out_by_hand_drains_whatever_discovery_says() -> None:
     clock = Clock()
-    roster = Roster(clock, drain_grace=1000.0)
-    roster.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
-    held = roster.put_out("w1")
+    registry = Registry(clock, drain_grace=1000.0)
+    registry.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
+    held = registry.put_out("w1")
     assert held is not None and held.readiness is Readiness.DRAINING
-    assert roster.address("w1") is None  # the decisions are told at once: nothing new goes there
-    _, told = roster.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
-    assert told[0].readiness is Readiness.DRAINING and roster.address("w1") is None
-    assert (roster.listed, roster.out_by_hand) == (2, 1)
-    back = roster.put_back("w1")
-    assert back is not None and back.readiness is Readiness.READY and roster.address("w1") is not None
-    assert roster.put_out("w9") is None and roster.put_back("w9") is None
+    assert registry.address("w1") is None  # the decisions are told at once: nothing new goes there
+    _, told = registry.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
+    assert told[0].readiness is Readiness.DRAINING and registry.address("w1") is None
+    assert (registry.listed, registry.out_by_hand) == (2, 1)
+    back = registry.put_back("w1")
+    assert back is not None and back.readiness is Readiness.READY and registry.address("w1") is not None
+    assert registry.put_out("w9") is None and registry.put_back("w9") is None
 
 
 def test_calls_out_twice_and_one_back() -> None:
-    roster = Roster(Clock(), drain_grace=1000.0)
-    roster.apply(listing(("w1", Readiness.READY)))
-    roster.put_out("w1")
-    roster.put_out("w1")
-    roster.put_back("w1")
-    assert roster.by_hand == set() and roster.out_by_hand == 0
+    registry = Registry(Clock(), drain_grace=1000.0)
+    registry.apply(listing(("w1", Readiness.READY)))
+    registry.put_out("w1")
+    registry.put_out("w1")
+    registry.put_back("w1")
+    assert registry.by_hand == set() and registry.out_by_hand == 0
 
 
 def test_a_process_beside_keeps_and_takes_the_calls(tmp_path: Path) -> None:
-    """Old and new process of one scheduler, each with its roster, one file between them."""
+    """Old and new process of one scheduler, each with its registry, one file between them."""
     path = tmp_path / "out.json"
     told: list[tuple[str, list[WorkerInfo]]] = []
     sides = []
     for name in ("old", "new"):
-        roster = Roster(Clock(), drain_grace=1000.0)
-        roster.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
+        registry = Registry(Clock(), drain_grace=1000.0)
+        registry.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
         learn = lambda scope, infos, name=name: told.append((name, list(infos)))  # noqa: E731
-        sides.append((roster, Rotation(roster, learn, HandFile(path))))
+        sides.append((registry, Rotation(registry, learn, HandFile(path))))
     (old, old_rotation), (new, new_rotation) = sides
     assert old_rotation.out("w1")
     assert new_rotation.out("w2")  # before it has read the other's call: both stay
@@ -143,10 +143,10 @@
 def test_a_start_reads_what_was_put_out_before_any_list(tmp_path: Path) -> None:
     path = tmp_path / "out.json"
     path.write_text('["w1"]')
-    roster = Roster(Clock(), drain_grace=1000.0)
-    Rotation(roster, lambda scope, infos: None, HandFile(path)).follow()
-    _, told = roster.apply(listing(("w1", Readiness.READY)))
-    assert told[0].readiness is Readiness.DRAINING and roster.address("w1") is None
+    registry = Registry(Clock(), drain_grace=1000.0)
+    Rotation(registry, lambda scope, infos: None, HandFile(path)).follow()
+    _, told = registry.apply(listing(("w1", Readiness.READY)))
+    assert told[0].readiness is Readiness.DRAINING and registry.address("w1") is None
 
 
 def _as_a_folder(path: Path) -> None:
@@ -175,18 +175,18 @@
     """Whoever is out stays out, who is in stays in, and the next call keeps what is in hand."""
     path = tmp_path / "disk" / "out.json"
     path.parent.mkdir()
-    roster = Roster(Clock(), drain_grace=1000.0)
-    roster.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
-    rotation = Rotation(roster, lambda scope, infos: None, HandFile(path))
+    registry = Registry(Clock(), drain_grace=1000.0)
+    registry.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
+    rotation = Rotation(registry, lambda scope, infos: None, HandFile(path))
     rotation.out("w1")
     BREAKS[how](path)
     for _ in range(3):
         rotation.follow()
-        assert roster.by_hand == {"w1"} and roster.address("w2") is not None
+        assert registry.by_hand == {"w1"} and registry.address("w2") is not None
     assert rotation.out("w2")
     rotation.follow()
-    assert roster.by_hand == {"w1", "w2"}
-    fresh = Roster(Clock(), drain_grace=1000.0)
+    assert registry.by_hand == {"w1", "w2"}
+    fresh = Registry(Clock(), drain_grace=1000.0)
     Rotation(fresh, lambda scope, infos: None, HandFile(path)).follow()
     assert fresh.by_hand in ({"w1", "w2"}, set()), "all are on record, or it can't be written"
     assert fresh.by_hand or not path.is_file()
@@ -195,16 +195,16 @@
 def test_a_file_not_ours_puts_nobody_out_and_one_taken_away_puts_all_back(tmp_path: Path) -> None:
     path = tmp_path / "out.json"
     path.write_text('{"w1": tru')
-    roster = Roster(Clock(), drain_grace=1000.0)
-    rotation = Rotation(roster, lambda scope, infos: None, HandFile(path))
+    registry = Registry(Clock(), drain_grace=1000.0)
+    rotation = Rotation(registry, lambda scope, infos: None, HandFile(path))
     rotation.follow()
-    assert roster.by_hand == set()
+    assert registry.by_hand == set()
     path.write_text('["w1"]')
     rotation.follow()
-    assert roster.by_hand == {"w1"}
+    assert registry.by_hand == {"w1"}
     path.unlink()
     rotation.follow()
-    assert roster.by_hand == set()
+    assert registry.by_hand == set()
 
 
 # ---- A second process on the same address ----
--- a/tests/test_watch_ends.py
+++ b/tests/test_watch_ends.py
@@ -16,9 +16,9 @@
 from virtual import play
 
 from oxbowyard.decision.facade import Readiness, Scope, WorkerInfo
-from oxbowyard.director.pace import CallPace
-from oxbowyard.director.roster import Change, Roster, parse_list
-from oxbowyard.director.watch import Director
+from oxbowyard.discovery.call_schedule import CallSchedule
+from oxbowyard.discovery.registry import Change, Registry, parse_list
+from oxbowyard.discovery.watch import DiscoveryClient
 
 GRACE = 0.8  # seconds: the shortest drain grace met so far
 WHOLE = 10_000  # more bytes than any answer has
@@ -93,11 +93,11 @@
 
 
 class Seen:
-    """What a roster and the decisions were told, and when."""
+    """What a registry and the decisions were told, and when."""
 
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
-        self.roster = Roster(lambda: self.loop.time() * 1000, GRACE * 1000)
+        self.registry = Registry(lambda: self.loop.time() * 1000, GRACE * 1000)
         self.told: list[tuple[float, Readiness]] = []
         self.fault: Callable[[], None] = lambda: None
 
@@ -110,12 +110,12 @@
 
 
 async def _started(
-    discovery: Discovery, seen: Seen, pace: CallPace
+    service: Discovery, seen: Seen, pace: CallSchedule
 ) -> tuple[asyncio.Server, asyncio.Task[None]]:
-    server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
+    server = await asyncio.start_server(service.serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()[:2]
-    director = Director(f"{host}:{port}", seen.roster, seen.learn, pace=pace)
-    return server, asyncio.create_task(director.run())
+    discovery = DiscoveryClient(f"{host}:{port}", seen.registry, seen.learn, pace=pace)
+    return server, asyncio.create_task(discovery.run())
 
 
 async def _ended(server: asyncio.Server, task: asyncio.Task[None]) -> None:
@@ -138,7 +138,7 @@
 
     async def scene() -> None:
         discovery, seen = Discovery(dict.fromkeys(at, stop), reset), Seen()
-        server, task = await _started(discovery, seen, CallPace(common, 6, Random(3), 10_000.0))
+        server, task = await _started(discovery, seen, CallSchedule(common, 6, Random(3), 10_000.0))
         while not discovery.silent_at:
             await asyncio.sleep(0.01)
             if stop and len(discovery.calls) > at[0]:  # it stops within its answer: there has to be one
@@ -147,7 +147,7 @@
         discovery.change(entry(state="draining"))
         await asyncio.sleep(12.0)
         assert seen.drained_at() <= max(since + 6.0, since + wait + 2.0)
-        assert seen.roster.address("w1") is None
+        assert seen.registry.address("w1") is None
         await _ended(server, task)
 
     play(scene, most=60.0)
@@ -157,13 +157,13 @@
 def test_news_that_a_dead_watch_held_back_has_no_grace_left(late: bool) -> None:
     async def scene() -> None:
         discovery, seen = Discovery({2: 0} if late else {}), Seen()
-        server, task = await _started(discovery, seen, CallPace(False, 3, Random(3)))
+        server, task = await _started(discovery, seen, CallSchedule(False, 3, Random(3)))
         while len(discovery.calls) < 3:
             await asyncio.sleep(0.01)
         discovery.change(entry(state="draining"))
         while not any(readiness is Readiness.DRAINING for _, readiness in seen.told):
             await asyncio.sleep(0.001)
-        assert (seen.roster.address("w1") is None) is late
+        assert (seen.registry.address("w1") is None) is late
         await _ended(server, task)
 
     play(scene, most=60.0)
@@ -192,15 +192,15 @@
 ) -> None:
     """The entry used to be left out, and the worker was sent to for as long as the list stood."""
     now = [0.0]
-    roster = Roster(lambda: now[0], 1000.0)
-    roster.apply(parse_list({"rev": 1, "all": True, "targets": [entry()]}))
+    registry = Registry(lambda: now[0], 1000.0)
+    registry.apply(parse_list({"rev": 1, "all": True, "targets": [entry()]}))
     row = entry(state=state, **broken)
-    roster.apply(parse_list({"rev": 2, "all": False, "targets": [row]}))
-    assert roster.address("w1") == "10.0.0.1:80", "within its grace it may be sent to where it is"
+    registry.apply(parse_list({"rev": 2, "all": False, "targets": [row]}))
+    assert registry.address("w1") == "10.0.0.1:80", "within its grace it may be sent to where it is"
     now[0] = 1000.0
-    assert roster.address("w1") is None
-    roster.apply(parse_list({"rev": 3, "all": False, "targets": [entry("w3", state, endpoint=None)]}))
-    assert roster.address("w3") is None, "no endpoint is known of it"
+    assert registry.address("w1") is None
+    registry.apply(parse_list({"rev": 3, "all": False, "targets": [entry("w3", state, endpoint=None)]}))
+    assert registry.address("w3") is None, "no endpoint is known of it"
 
 
 def test_a_figure_beyond_all_numbers_is_a_broken_entry() -> None:
@@ -219,7 +219,7 @@
             seen.fault = lambda: None
             raise KeyError("a fault of ours")
 
-        server, task = await _started(discovery, seen, CallPace(False, 3, Random(3)))
+        server, task = await _started(discovery, seen, CallSchedule(False, 3, Random(3)))
         while len(discovery.calls) < 3:
             await asyncio.sleep(0.01)
         seen.fault = broken
@@ -234,7 +234,7 @@
 def test_an_older_list_is_asked_for_again_before_it_counts() -> None:
     async def scene() -> None:
         discovery, seen = Discovery({}), Seen()
-        server, task = await _started(discovery, seen, CallPace(False, 3, Random(3)))
+        server, task = await _started(discovery, seen, CallSchedule(False, 3, Random(3)))
         discovery.change(entry(state="draining"))
         await asyncio.sleep(1.0)
         # One answer from before the drain, whole and well-formed, as from a lagging copy: the drain stays.
@@ -245,16 +245,18 @@
         discovery.rev = 0  # it begins to count anew: believed once it says so of the whole list
         discovery.change(entry())
         await asyncio.sleep(3.0)
-        assert seen.told[-1][1] is Readiness.READY and seen.roster.address("w1")
+        assert seen.told[-1][1] is Readiness.READY and seen.registry.address("w1")
         await _ended(server, task)
 
     play(scene, most=60.0)
 
 
 def test_a_backend_gone_and_back_elsewhere_is_sent_to_where_it_is_now() -> None:
-    roster = Roster(lambda: 0.0, 1000.0)
+    registry = Registry(lambda: 0.0, 1000.0)
     for state, endpoint in (("ready", "10.0.0.1:80"), ("gone", "10.0.0.1:80"), ("ready", "10.0.0.2:80")):
-        roster.apply(parse_list({"rev": 1, "all": False, "targets": [entry(state=state, endpoint=endpoint)]}))
-    assert roster.address("w1") == "10.0.0.2:80"
-    roster.apply(Change(2, True, ()))  # an empty whole list: all are gone, and so said
-    assert roster.backends["w1"].readiness is Readiness.GONE
+        registry.apply(
+            parse_list({"rev": 1, "all": False, "targets": [entry(state=state, endpoint=endpoint)]})
+        )
+    assert registry.address("w1") == "10.0.0.2:80"
+    registry.apply(Change(2, True, ()))  # an empty whole list: all are gone, and so said
+    assert registry.backends["w1"].readiness is Readiness.GONE
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -12,9 +12,9 @@
 from virtual import play
 
 from oxbowyard.decision.facade import Scope, WorkerInfo
-from oxbowyard.director.pace import CallPace
-from oxbowyard.director.roster import Roster
-from oxbowyard.director.watch import Director
+from oxbowyard.discovery.call_schedule import CallSchedule
+from oxbowyard.discovery.registry import Registry
+from oxbowyard.discovery.watch import DiscoveryClient
 
 CALLERS, GRACE_MS = 40, 1000.0
 DRAIN_AT = 30.0  # seconds: by then most have a watch that goes on
@@ -81,13 +81,13 @@
 def test_forty_watches_spread_their_calls_and_none_is_late_for_a_drain() -> None:
     heard: dict[int, float] = {}
     bound: list[bool] = []  # for each, whether it sends nothing new to the drained worker 0.9 s after told
-    rosters: list[Roster] = []
+    registries: list[Registry] = []
 
     async def scene() -> None:
         loop = asyncio.get_running_loop()
-        discovery = Discovery()
+        service = Discovery()
         app = web.Application()
-        app.router.add_get("/discovery/hosts", discovery.hosts)
+        app.router.add_get("/discovery/hosts", service.hosts)
         runner = web.AppRunner(app, handle_signals=False)
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
@@ -95,30 +95,32 @@
         port = site._server.sockets[0].getsockname()[1]  # type: ignore[union-attr]
         tasks = []
         for i in range(CALLERS):
-            roster = Roster(lambda: loop.time() * 1000, GRACE_MS)
-            rosters.append(roster)
+            registry = Registry(lambda: loop.time() * 1000, GRACE_MS)
+            registries.append(registry)
 
             def learn(
-                scope: Scope, infos: tuple[WorkerInfo, ...], i: int = i, roster: Roster = roster
+                scope: Scope, infos: tuple[WorkerInfo, ...], i: int = i, registry: Registry = registry
             ) -> None:
                 if i not in heard and any(info.readiness.value == "draining" for info in infos):
                     heard[i] = loop.time()  # told at this moment: the answer was written a moment before
-                    loop.call_later(GRACE_MS / 1000 - 0.1, lambda: bound.append(roster.address("w1") is None))
-
-            pace = CallPace(True, CALLERS, Random(i))
-            director = Director(f"127.0.0.1:{port}", roster, learn, pace=pace)
-            director.restore({"rev": 1, "all": True, "targets": [entry("ready")]})
-            tasks.append(asyncio.create_task(director.run()))
+                    loop.call_later(
+                        GRACE_MS / 1000 - 0.1, lambda: bound.append(registry.address("w1") is None)
+                    )
+
+            pace = CallSchedule(True, CALLERS, Random(i))
+            client = DiscoveryClient(f"127.0.0.1:{port}", registry, learn, pace=pace)
+            client.restore({"rev": 1, "all": True, "targets": [entry("ready")]})
+            tasks.append(asyncio.create_task(client.run()))
         await asyncio.sleep(DRAIN_AT)
-        discovery.drain()
+        service.drain()
         await asyncio.sleep(90.0)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await runner.cleanup()
-        assert max(discovery.calls.values()) <= 12, "calls spread: a few a second at most"
+        assert max(service.calls.values()) <= 12, "calls spread: a few a second at most"
         assert len(heard) == CALLERS, "all hear the drain"
-        assert discovery.told >= CALLERS, "each was told by a call of its own"
+        assert service.told >= CALLERS, "each was told by a call of its own"
         assert bound == [True] * CALLERS, "none late for the drain"
         assert sorted(heard.values())[CALLERS // 2] - DRAIN_AT < 1.0, "most at once, by a watch that goes on"
 
