--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -20,7 +20,7 @@
 from oxbowyard.waiting.settings import WaitingSettings
 
 MANNERS = pytest.mark.parametrize("manner", ["close", "half", "reset"])
-AHEAD = pytest.mark.parametrize("ahead", [0, 200, 400_000])  # bytes; with 200 small requests reading is paused
+AHEAD = pytest.mark.parametrize("ahead", [0, 200, 400_000])  # bytes; 200 small requests pause reading
 CLASSES = pytest.mark.parametrize("job_class", ["preview", "accession"])
 GONE_WITHIN_S = 0.1  # the protocol's bound: an attempt that begins later than this after the close is a fault
 HELD_UP_S = 0.05  # of it, the loop may do something else: what is left has to do
