A service that is down is told from one that is full by both ways it turns calls down

Change: one that is down, or its front, turns calls down at once or after a while; one that is full does both. Only both within one outage spread the calls further and let the list expire. A call that goes on with a watch says nothing of it.

--- a/oxbowyard/discovery/call_schedule.py
+++ b/oxbowyard/discovery/call_schedule.py
@@ -16,7 +16,9 @@
 TOLD_WITHIN_S = 6.0  # the protocol's bound; from here on a drain that was not heard is binding all the same
 MARGIN_S = 0.25  # kept off it, for a loop that runs late and an answer on its way
 CONNECT_TIMEOUT_S = 0.5  # a connection that takes longer to come up counts as unreachable
-TURNED_DOWN_AT_ONCE_S = 0.5  # a call turned down later than that has waited in the service's queue
+# A service that is down, or its front, may turn each call down at once, or each after a while. One that is
+# full does both: what finds no room in its queue at once, the rest when it has waited too long.
+AT_ONCE_S, AFTER_A_WAIT_S = 0.1, 1.0
 
 # An agent on this machine answers at once and at no cost; a watch lapses 0.2 s after the last answer.
 AGENT_PAUSE_S = 0.1
@@ -40,18 +42,18 @@
 # at other times at each scheduler, spread the calls by themselves.
 LEAST_REOPEN_S, LONGEST_REOPEN_S = 0.25, 2.75
 JITTER = 0.1  # of the period of calls to a service that can't be reached
-# A service that turns calls down after they have waited bears no such rate. Being heard at all goes first:
+# A service that is full bears no such rate. Being heard at all goes first:
 # the calls of all schedulers are spread over this time for each of them.
-OVERLOAD_SPACING_S = 0.225
+OVERLOAD_SPACING_S = 0.25
 ASK_MARGIN_MS = 500.0  # kept off the settings' `askEvery`
 
 
 class CallFailure(Enum):
     """Why a call to the discovery service brought no list."""
 
-    UNREACHABLE = "unreachable"  # refused, reset, never connected, or turned down at once
+    UNREACHABLE = "unreachable"  # refused, reset, never connected, or an answer that is no list
     SILENT = "silent"  # connected, and no answer in time
-    OVERLOADED = "overloaded"  # turned down after it had waited: the service lives
+    TURNED_DOWN = "turned down"  # answered with another status than 200
 
 
 @dataclass(slots=True)
@@ -71,7 +73,8 @@
     # When the list in hand is too old to send by: the service was seen to live, and has not told us its news.
     list_expires_at: float = math.inf
     _hear_by: float = math.inf  # when a change that was missed may begin to count as told
-    _overloaded: bool = False  # it has said so in this outage
+    _down_at_once: bool = False  # a call of this outage was turned down so
+    _down_after_a_wait: bool = False
     _in_phase: bool = False  # the calls of this outage have drawn their place in the period
 
     # ---- How long a call may take ----
@@ -113,27 +116,37 @@
         self.failures += 1
         if not self.shared:
             return AGENT_PAUSE_S
-        if failure is CallFailure.OVERLOADED:
-            self.list_expires_at = min(self.list_expires_at, now - took + TOLD_WITHIN_S - MARGIN_S)
-            self._overloaded = True
         if continued:
             self._hear_by = now - took + TOLD_WITHIN_S - MARGIN_S
             return self._soon(self._reopen_spread)
-        if self._overloaded:  # until it answers: one that is full turns some calls down at once
+        if failure is CallFailure.TURNED_DOWN:
+            self._note_turned_down(now, took)
+        if self._overloaded:
             spread = OVERLOAD_SPACING_S * self.schedulers
             return self.random.uniform(LONGEST_TIMEOUT_S, max(spread, 2 * LONGEST_TIMEOUT_S))
         if failure is CallFailure.SILENT and self.failures <= QUICK_RETRIES + 1:
             return self._soon(QUICK_RETRY_S)
-        if failure is CallFailure.UNREACHABLE and not self._in_phase:
+        if took < AT_ONCE_S and not self._in_phase:
             self._in_phase = True
             return self._soon(self._spread)
         # At a steady rate: twice as many calls, spread by chance, would come no sooner at the worst.
         period = self._spread * self.random.uniform(1 - JITTER, 1 + JITTER)
         return max(period - took, AGENT_PAUSE_S)
 
+    @property
+    def _overloaded(self) -> bool:
+        return self._down_at_once and self._down_after_a_wait
+
+    def _note_turned_down(self, now: float, took: float) -> None:
+        self._down_at_once |= took < AT_ONCE_S
+        self._down_after_a_wait |= took >= AFTER_A_WAIT_S
+        if self._overloaded:
+            self.list_expires_at = min(self.list_expires_at, now - took + TOLD_WITHIN_S - MARGIN_S)
+
     def answered(self, now: float) -> None:
         """A call was answered: the next failure is a first one."""
-        self.failures, self._overloaded, self._in_phase = 0, False, False
+        self.failures, self._in_phase = 0, False
+        self._down_at_once = self._down_after_a_wait = False
         self._hear_by, self.list_expires_at = now + TOLD_WITHIN_S - MARGIN_S, math.inf
 
     def _soon(self, span: float) -> float:
--- a/oxbowyard/discovery/watch.py
+++ b/oxbowyard/discovery/watch.py
@@ -14,7 +14,7 @@
 from yarl import URL
 
 from ..decision.facade import Scope, WorkerInfo
-from .call_schedule import CONNECT_TIMEOUT_S, TURNED_DOWN_AT_ONCE_S, CallFailure, CallSchedule
+from .call_schedule import CONNECT_TIMEOUT_S, CallFailure, CallSchedule
 from .registry import BrokenList, Change, Registry, parse_list
 
 log = logging.getLogger("oxbowyard.director")  # as operators know it
@@ -92,12 +92,10 @@
             # What was missed is asked for without a wait: a watch begins once that is known.
             wait_ms = self._schedule.wait_ms if self._continues else 1
             url, wait = url.with_query(after=self._rev, wait_ms=wait_ms), wait_ms / 1000
-        began = self._loop.time()
-        status, body = await self._get(session, url, wait + self._schedule.timeout(began, self._continues))
+        within = wait + self._schedule.timeout(self._loop.time(), self._continues)
+        status, body = await self._get(session, url, within)
         if status != 200:
-            waited = self._loop.time() - began >= TURNED_DOWN_AT_ONCE_S
-            failure = CallFailure.OVERLOADED if waited else CallFailure.UNREACHABLE
-            raise _CallFailed(failure, f"turned down, status {status}")
+            raise _CallFailed(CallFailure.TURNED_DOWN, f"status {status}")
         return self._read(body)
 
     async def _get(self, session: aiohttp.ClientSession, url: URL, within: float) -> tuple[int, bytes]:
