Descriptors are shared out by one sum; the admin API's callers count in it

Cause: 24 descriptors were set aside for streams, listeners, the loop and discovery, while the admin API alone may hold 32 callers, and connections that wait for the end of an answer were counted nowhere.

Ruled out: the acceptor: it counts a connection before the next one is accepted.

Change: daemon/descriptors.py shares the limit out: fixed ones by name, callers of the admin API (a sixteenth, 4 to 32), ends of answers (a thirty-second, 4 to 64, past that the connection is closed at once), the rest to clients and requests.

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -40,11 +40,13 @@
         load_names: Mapping[str, str],
         connect_timeout: float,
         once: Collection[str] = (),
+        most_tails: int = 64,
     ) -> None:
         self._registry = registry
         self._load_names = load_names
         self.once = once  # classes that must not run twice
         self._tails: set[asyncio.Task[None]] = set()
+        self._most_tails = most_tails  # connections held for the end of an answer that is known
         self.relayed: Counter[str] = Counter()  # fetches written whole, by class
         self._session = aiohttp.ClientSession(
             # A connection a fetch: backends close kept ones early and unseen, or were restarted meanwhile,
@@ -145,6 +147,9 @@
         if response.content.at_eof():
             response.release()
             return
+        if len(self._tails) >= self._most_tails:  # their descriptors are needed elsewhere
+            response.close()
+            return
         task = asyncio.create_task(_read_tail(response))
         self._tails.add(task)
         task.add_done_callback(self._tails.discard)
--- a/oxbowyard/control/door.py
+++ b/oxbowyard/control/door.py
@@ -15,7 +15,7 @@
 
 log = logging.getLogger("oxbowyard.control")
 
-MOST_CALLERS = 32  # connections held at the door at once; past it the one silent longest is closed for room
+MOST_CALLERS = 32  # connections held at once by default; past it the one silent longest is closed for room
 SILENT_FOR = 0.2  # seconds a silent caller may stay when another needs its room
 MOST_CALL_BODY = 4096  # bytes: the calls have no body; a large one is no call of ours, and is not read
 
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine, Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
 
@@ -25,6 +25,7 @@
 from ..gearman.jobs import Jobs
 from ..gearman.workers import Workers
 from .config import Config
+from .descriptors import Descriptors
 
 if TYPE_CHECKING:  # its libraries are there, and taken in, only where the operator's file has its table
     from ..durable.keeping import Keeping
@@ -37,26 +38,6 @@
 
 log = logging.getLogger("oxbowyard.daemon")
 
-SPARE_SOCKETS = 24  # standard streams, listeners, the loop's own, discovery's connections, a file being read
-# The rest of the descriptors is shared out. At most a third of all are held by clients for requests, and each
-# of these takes one more for its fetch. The rest is for clients that ask for nothing.
-REQS_SHARE = 0.4
-
-
-@dataclass(slots=True, frozen=True)
-class Room:
-    """How many of each the descriptors allow."""
-
-    reqs: int
-    clients: int
-
-    @classmethod
-    def of(cls, sockets: int, most_held: int, gearman: int = 0) -> Room:
-        """Share out the descriptors."""
-        rest = max(sockets - SPARE_SOCKETS - gearman, 5)
-        reqs = int(rest * REQS_SHARE)
-        return cls(max(min(reqs, most_held), 1), rest - reqs)
-
 
 class Assembly:
     """A scheduler with its discovery client, its backends and, where asked for, its Gearman front."""
@@ -86,12 +67,16 @@
             settings = replace(settings, classes=with_aged(plain, waiting))
         self.measure = ServiceMeasure(measured, config.by_work)
         self.registry = Registry(clock, settings.drain_grace)
-        self.room = Room.of(config.sockets, config.most_held, gearman.max_connections if gearman else 0)
+        self.descriptors = Descriptors.share_out(
+            config.sockets, config.most_held, gearman.max_connections if gearman else 0,
+            admin=config.admin is not None,
+        )  # fmt: skip
         self.backends = HttpBackends(
             self.registry,
             config.load_names,
             settings.connect_timeout,
             frozenset(c.name for c in settings.classes if c.repeat is not Repeat.FREE),
+            self.descriptors.tails,
         )
         workers = Workers(gearman) if gearman else None
         transport: BackendTransport = self.backends
@@ -99,7 +84,7 @@
             transport = RoutedTransport(self.backends, {KIND: workers})
         # The discovery client asks for the list, whichever way it comes: the decisions need not.
         facade = Facade(replace(settings, must_subscribe=False), config.seed, clock)
-        limits = Limits(open_reqs=self.room.reqs)
+        limits = Limits(open_reqs=self.descriptors.requests)
         self.scheduler = Scheduler(settings, facade, transport, clock, self.measure, limits)
         self.discovery = DiscoveryClient(
             config.discovery, self.registry, self.scheduler.learn, on_settled,
@@ -107,7 +92,9 @@
         )  # fmt: skip
         self.waiting: WaitingRoom | None = None
         if waiting is not None:
-            self.waiting = _room(waiting, plain, self.scheduler, clock, config.name, self.room.reqs, kept)
+            self.waiting = _room(
+                waiting, plain, self.scheduler, clock, config.name, self.descriptors.requests, kept
+            )
         self.deadlines = {c.name: c.deadline / 1000 for c in plain}
         self.gearman: GearmanFront | None = None
         if gearman and workers:
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -120,7 +120,7 @@
             self._parts.scheduler,
             self._parts.classes,
             self._is_up,
-            self._parts.room.clients,
+            self._parts.descriptors.clients,
             int(config.memory_mb * BODIES_SHARE * (1 << 20)),
             self._waiting_front(),
         )
@@ -220,7 +220,11 @@
     async def _start(self) -> Gate:
         gate = self._client_gate()
         if self._config.admin is not None:
-            self._door = Gate("control", *self._config.admin, ControlSessions(Calls(self._control())))
+            self._door = Gate(
+                "control",
+                *self._config.admin,
+                ControlSessions(Calls(self._control()), self._parts.descriptors.admin),
+            )
             self._door.open()
         if self._parts.gearman:
             self._parts.gearman.listen()
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,129 @@
+"""Idle clients take every descriptor they can: the list is heard again, and who asks is served."""
+
+from __future__ import annotations
+
+import json
+import resource
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+import pytest
+from player import PATIENCE, SETTINGS, Program
+from stage import ask
+from test_replacement import Stand, free_port, status, wait_until
+
+from oxbowyard.daemon.descriptors import Descriptors
+from oxbowyard.discovery.call_schedule import TOLD_WITHIN_S
+
+LIMIT = 96
+SHARED = Descriptors.share_out(LIMIT, 20_000)
+IDLE_MANNERS = {
+    "silent": b"",
+    "kept": b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n",
+    "unfinished": b"POST /preview HTTP/1.1\r\nHost: a\r\nReq-Id: u1\r\n",
+}
+
+
+class HeldWorker(Stand):
+    """Takes each job and holds it until told to end them all."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.running = 0
+        self.may_end = threading.Event()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            got = b""
+            while not got.endswith(b"hello"):
+                got += connection.recv(4096)
+            self.running += 1
+            self.may_end.wait(PATIENCE)
+            name = got.partition(b"Req-Id: ")[2].split(b"\r")[0].decode()
+            line = json.dumps({"id": name, "state": "done", "result": "made"}).encode() + b"\n"
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(line)
+            connection.sendall(head + line)
+
+
+class LateDiscovery:
+    """Nobody listens at its address before `start`."""
+
+    def __init__(self, listing: dict[str, object]) -> None:
+        self.port = free_port()
+        self.listing = listing
+        self.calls = 0
+
+    def start(self) -> socket.socket:
+        listener = socket.create_server(("127.0.0.1", self.port))
+        threading.Thread(target=self._serve, args=(listener,), daemon=True).start()
+        return listener
+
+    def _serve(self, listener: socket.socket) -> None:
+        body = json.dumps(self.listing).encode()
+        try:
+            while True:
+                connection, _ = listener.accept()
+                connection.recv(4096)
+                self.calls += 1
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        except OSError:
+            return
+
+
+def _connected(stack: ExitStack, where: tuple[str, int], text: bytes) -> socket.socket:
+    client = stack.enter_context(socket.create_connection(where, PATIENCE))
+    client.sendall(text)
+    return client
+
+
+@contextmanager
+def _program(tmp_path: Path, worker: HeldWorker, discovery: LateDiscovery) -> Iterator[Program]:
+    program = Program({
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1f",
+        "admin": "127.0.0.1:0", "settings": SETTINGS, "known": discovery.listing,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": LIMIT},
+    }, tmp_path, [])  # fmt: skip
+    resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (LIMIT, LIMIT))
+    try:
+        yield program
+    finally:
+        program.end()
+        worker.listener.close()
+
+
+@pytest.mark.parametrize("manner", IDLE_MANNERS)
+def test_idle_clients_that_take_all_they_can_leave_room_for_the_rest(tmp_path: Path, manner: str) -> None:
+    """Discovery is down meanwhile; as many jobs as may be open hold a connection to the worker each."""
+    worker = HeldWorker()
+    worker.start()
+    entry = {"uid": "w1", "endpoint": worker.address, "az": "a", "model": "m", "state": "ready", "boot_ms": 0}
+    discovery = LateDiscovery({"rev": 2, "all": True, "targets": [entry]})
+    with ExitStack() as stack:
+        program = stack.enter_context(_program(tmp_path, worker, discovery))
+        clients, admin = program.address("http"), program.address("control")
+        program.wait_for("-> serving")
+        asking = [
+            _connected(stack, clients, ask("preview", f"a{i}", patience=PATIENCE))
+            for i in range(SHARED.requests)
+        ]
+        wait_until(lambda: worker.running >= 4, PATIENCE)
+        for _ in range(LIMIT):
+            _connected(stack, clients, IDLE_MANNERS[manner])
+            _connected(stack, admin, b"")
+        held = Path(f"/proc/{program.process.pid}/fd")
+        wait_until(lambda: len(list(held.iterdir())) > LIMIT // 2, PATIENCE)
+        stack.enter_context(discovery.start())
+        wait_until(lambda: discovery.calls >= 1, TOLD_WITHIN_S)
+        program.wait_for("list rev 2, full")
+        assert status(admin, "/control/ready") == 200, "the operators are answered beside a crowd"
+        worker.may_end.set()
+        for client in asking[:4]:
+            client.settimeout(PATIENCE)
+            assert b" 200 OK" in client.recv(4096)
+        last = _connected(stack, clients, ask("preview", "last"))
+        last.settimeout(PATIENCE)
+        assert b" 200 OK" in last.recv(4096)
+        assert not [line for line in program.lines if "Too many open files" in line or "Traceback" in line]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,8 +12,9 @@
 
 from oxbowyard.clients.session import Bodies
 from oxbowyard.clients.wording import Fault
-from oxbowyard.daemon.assembly import SPARE_SOCKETS, Assembly, Room
+from oxbowyard.daemon.assembly import Assembly
 from oxbowyard.daemon.config import Config
+from oxbowyard.daemon.descriptors import Descriptors
 from oxbowyard.decision.interface import JobClass, Settings
 from oxbowyard.gearman.config import load as load_gearman
 from oxbowyard.gearman.jobs import _key
@@ -22,13 +23,16 @@
 OTHERS = tuple(JobClass(name, aim=1000, deadline=5000) for name in ("label-check", "accession"))
 
 
-@pytest.mark.parametrize("sockets", [256, 384, 512, 1024])
-def test_the_descriptors_are_enough_for_all_at_once(sockets: int) -> None:
-    room = Room.of(sockets, 20_000)
-    assert SPARE_SOCKETS + room.clients + room.reqs <= sockets
-    assert room.reqs >= sockets // 3 and room.clients > room.reqs  # a third is held by clients for requests
-    with_gearman = Room.of(sockets, 20_000, gearman=sockets // 4)
-    assert SPARE_SOCKETS + sockets // 4 + sum((with_gearman.clients, with_gearman.reqs)) <= sockets
+@pytest.mark.parametrize("sockets", [64, 128, 256, 384, 512, 1024])
+@pytest.mark.parametrize("admin", [False, True])
+def test_the_descriptors_are_enough_for_all_at_once(sockets: int, admin: bool) -> None:
+    """The admin API's 32 callers used to be counted nowhere: more than all that was set aside."""
+    shared = Descriptors.share_out(sockets, 20_000, admin=admin)
+    assert shared.total <= sockets
+    if sockets >= 256:  # a third is held by clients for requests
+        assert shared.requests >= sockets // 3 and shared.clients > shared.requests
+    with_gearman = Descriptors.share_out(sockets, 20_000, gearman=sockets // 4, admin=admin)
+    assert with_gearman.total <= sockets
 
 
 def test_without_a_descriptor_the_gate_tries_again_now_and_then() -> None:
@@ -82,7 +86,8 @@
         gearman = load_gearman(Path("deploy/gearman.toml"), (*settings.classes, *OTHERS))
         parts = Assembly(config, gearman)
         assert parts.gearman and parts.gearman.config.max_connections == 64
-        assert parts.room.reqs > 50 and parts.room.clients > parts.room.reqs
+        assert parts.descriptors.requests > 50
+        assert parts.descriptors.clients > parts.descriptors.requests
         await parts.close()
 
     asyncio.run(play())
