An attempt tells the time that is left as it is sent; moves of discovery are spread

And after a SIGHUP that names another list service, 200 schedulers asked it for whole lists in the same moment.

Ruled out: the core's own figure, which is taken as the attempt begins.

Change: _TimedRequest sets the header as it writes it. CallSchedule.moved spreads first calls over 2 s at most at 200, so that a silent one fits into the 4 s after which a move counts.

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -6,8 +6,10 @@
 import logging
 from collections import Counter
 from collections.abc import AsyncIterator, Collection, Mapping
+from typing import Any
 
 import aiohttp
+from aiohttp.connector import Connection
 from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
@@ -27,6 +29,23 @@
 BROKEN = (aiohttp.ClientError, OSError, HttpProcessingError, ValueError)
 
 
+TIME_LEFT = "Req-Deadline"  # header: milliseconds that the scheduler will wait, with the unit `m`
+
+
+class _TimedRequest(aiohttp.ClientRequest):
+    """Tells the time that is left as its headers are written: the connection may have come up late."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._made_at = self.loop.time()
+
+    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        """Write the headers, and begin with the body."""
+        told = float(self.headers[TIME_LEFT].removesuffix("m"))
+        self.headers[TIME_LEFT] = _milliseconds(told / 1000 - (self.loop.time() - self._made_at))
+        return await super().send(conn)
+
+
 class _Barred(Exception):
     """The req may not be sent to the backend any more; the text says why."""
 
@@ -49,6 +68,7 @@
         self._most_tails = most_tails  # connections held for the end of an answer that is known
         self.relayed: Counter[str] = Counter()  # fetches written whole, by class
         self._session = aiohttp.ClientSession(
+            request_class=_TimedRequest,
             # A connection a fetch: backends close kept ones early and unseen, or were restarted meanwhile,
             # and what is written to one may have run. A new one costs them 1 to 4 ms, little for a job.
             # The core bounds the reqs and so the connections: a limit here would be a hidden queue.
@@ -181,7 +201,7 @@
     return {
         "Req-Id": req.id,
         "Req-Kind": req.backend_class or req.job_class,
-        "Req-Deadline": f"{max(round(notes.time_left * 1000), 1)}m",
+        TIME_LEFT: _milliseconds(notes.time_left),
         "Content-Length": str(len(req.payload)),
         # As the client sent it: a backend knows a repeat by it, and takes a req that lacks it for another.
         **({"Idempotency-Key": req.idempotency_key} if req.idempotency_key else {}),
@@ -189,6 +209,10 @@
     }
 
 
+def _milliseconds(seconds: float) -> str:
+    return f"{max(round(seconds * 1000), 1)}m"
+
+
 def _broken(fault: Exception, notes: FetchNotes) -> Ending:
     """Before the last byte was handed over it never ran; after that it may have."""
     return Ending(Result.RESET if notes.written else Result.UNREACHABLE, reason=repr(fault))
--- a/oxbowyard/discovery/call_schedule.py
+++ b/oxbowyard/discovery/call_schedule.py
@@ -14,6 +14,7 @@
 from random import Random
 
 TOLD_WITHIN_S = 6.0  # the protocol's bound; from here on a drain that was not heard is binding all the same
+TOLD_AFTER_MOVE_S = 4.0  # the same after a configuration that names another address
 MARGIN_S = 0.25  # kept off it, for a loop that runs late and an answer on its way
 CONNECT_TIMEOUT_S = 0.5  # a connection that takes longer to come up counts as unreachable
 # A service that is down, or its front, may turn each call down at once, or each after a while. One that is
@@ -41,6 +42,7 @@
 # After a dead watch noticing it and a silent call have to fit in as well. The waits of the watches, which end
 # at other times at each scheduler, spread the calls by themselves.
 LEAST_REOPEN_S, LONGEST_REOPEN_S = 0.25, 2.75
+LONGEST_MOVE_S = 2.0  # to another address: one silent call fits into the 4 s as well
 JITTER = 0.1  # of the period of calls to a service that can't be reached
 # A service that is full bears no such rate. Being heard at all goes first:
 # the calls of all schedulers are spread over this time for each of them.
@@ -107,6 +109,12 @@
         self._hear_by = now + TOLD_WITHIN_S - MARGIN_S
         return self.random.uniform(0.0, self._first_spread) if self.shared else 0.0
 
+    def moved(self, now: float) -> float:
+        """Seconds to wait before the first call to another address: all schedulers may move to it at once."""
+        self._hear_by = now + TOLD_AFTER_MOVE_S - MARGIN_S
+        spread = min(self.schedulers / BEGINS_PER_S, LONGEST_MOVE_S)
+        return self.random.uniform(0.0, spread) if self.shared else 0.0
+
     def failed(self, now: float, failure: CallFailure, took: float, continued: bool = False) -> float:
         """Seconds to wait now that a call has failed.
 
--- a/oxbowyard/discovery/watch.py
+++ b/oxbowyard/discovery/watch.py
@@ -49,15 +49,14 @@
         self._failing = False
         self._continues = False  # the last call was answered, and the next one goes on from there
 
-    async def run(self) -> None:
-        """Watch until cancelled."""
+    async def run(self, after: float) -> None:
+        """Watch until cancelled, from so many seconds on."""
+        await asyncio.sleep(after)
         async with aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=2),
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         ) as session:
-            if self._rev is not None:
-                await asyncio.sleep(self._schedule.first(self._loop.time()))
             while True:
                 if (pause := await self._step(session)) is not None:
                     await asyncio.sleep(pause)
@@ -221,8 +220,15 @@
                     self._on_settled()
                     continue
                 self._coming = _Watch(address, self._take, self._watch_expiry, self._schedule, self._known)
+                pause = self._pause_before_first_call()
                 self._known = None  # another address may count its versions anew
-                self._tasks[self._coming] = group.create_task(self._coming.run())
+                self._tasks[self._coming] = group.create_task(self._coming.run(pause))
+
+    def _pause_before_first_call(self) -> float:
+        now = asyncio.get_running_loop().time()
+        if self._watch is not None:
+            return self._schedule.moved(now)
+        return self._schedule.first(now) if self._known is not None else 0.0
 
     def _watch_expiry(self) -> None:
         """A call has failed: set a timer where that makes the list in hand expire."""
--- a/tests/test_call_schedule.py
+++ b/tests/test_call_schedule.py
@@ -18,6 +18,7 @@
     BEGINS_PER_S,
     LONGEST_SPREAD_S,
     MARGIN_S,
+    TOLD_AFTER_MOVE_S,
     TOLD_WITHIN_S,
     CallFailure,
     CallSchedule,
@@ -234,6 +235,22 @@
         assert now + ANSWER_S <= BOUND_S
 
 
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("in_a_row", [0, 1])
+def test_all_that_move_to_another_address_hear_it_within_4_s(seed: int, in_a_row: int) -> None:
+    """A reload of 200 names another service: each asks for the whole list, at twice the price."""
+    schedules = fleet(200, seed)
+    calls = [(schedule.moved(0.0), i) for i, schedule in enumerate(schedules)]
+    answered = heard(Service(0.01), schedules, calls, TOLD_AFTER_MOVE_S)
+    assert len(answered) == 200 and max(answered.values()) < TOLD_AFTER_MOVE_S
+    worst = CallSchedule(True, 200, Longest(), ASK_EVERY_MS)
+    now = worst.moved(0.0)
+    for _ in range(in_a_row):
+        timeout = worst.timeout(now, False)
+        now += timeout + worst.failed(now + timeout, CallFailure.SILENT, timeout)
+    assert now + ANSWER_S < TOLD_AFTER_MOVE_S
+
+
 def test_no_pause_grows_but_for_a_service_that_is_full() -> None:
     for schedulers in (3, 20, 40, 200):
         for failure in CallFailure:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 from stage import SETTINGS, HeldLoop, Stage, ask, leave, turns
@@ -25,9 +27,9 @@
 from oxbowyard.listeners.gate import Gate
 
 
-def play(tmp_path: Path, scene: Callable[[Stage], Awaitable[None]]) -> None:
+def play(tmp_path: Path, scene: Callable[[Stage], Awaitable[None]], **changes: Any) -> None:
     async def whole() -> None:
-        stage = Stage(tmp_path)
+        stage = Stage(tmp_path, **changes)
         try:
             async with asyncio.timeout(120.0):
                 await scene(stage)
@@ -604,3 +606,30 @@
         assert (await fetch).result is Result.NOT_SENT and stage.worker.ran == 0
 
     play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("attempt", ["first", "further"])
+def test_an_attempt_whose_connection_came_up_late_tells_what_is_left(tmp_path: Path, attempt: str) -> None:
+    """It used to tell the time that was left when its connection was asked for."""
+    patience, late = 6.0, 1.5
+
+    async def scene(stage: Stage) -> None:
+        await stage.begin(names=("w1", "w2"))
+        if attempt == "further":
+            stage.worker.decline = 1
+            stage.worker.on_decline.append(stage.loop.way.clear)
+        else:
+            stage.loop.way.clear()
+        client = stage.client()
+        client.sendall(ask("preview", patience=patience))
+        asked_at = stage.loop.time()
+        while stage.loop.connecting < (2 if attempt == "further" else 1):
+            await asyncio.sleep(0.001)
+        stage.loop.call_later(late, stage.loop.way.set)
+        while b" 200 OK" not in await stage.read(client):
+            await asyncio.sleep(0.01)
+        told = re.search(rb"Req-Deadline: (\d+)m", stage.worker.got[-1])
+        assert told and late <= stage.loop.time() - asked_at
+        assert patience - 2 * late < int(told[1]) / 1000 <= patience - late
+
+    play(tmp_path, scene, policyLimits={**SETTINGS["policyLimits"], "connectTimeout": 2000.0})
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from random import Random
 
+import pytest
 from aiohttp import web
 from virtual import play
 
@@ -78,6 +79,16 @@
         self.changed = asyncio.Event()
 
 
+async def _served(service: Discovery) -> tuple[web.AppRunner, int]:
+    app = web.Application()
+    app.router.add_get("/discovery/hosts", service.hosts)
+    runner = web.AppRunner(app, handle_signals=False)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    return runner, site._server.sockets[0].getsockname()[1]  # type: ignore[union-attr]
+
+
 def test_forty_watches_spread_their_calls_and_none_is_late_for_a_drain() -> None:
     heard: dict[int, float] = {}
     bound: list[bool] = []  # for each, whether it sends nothing new to the drained worker 0.9 s after told
@@ -86,13 +97,7 @@
     async def scene() -> None:
         loop = asyncio.get_running_loop()
         service = Discovery()
-        app = web.Application()
-        app.router.add_get("/discovery/hosts", service.hosts)
-        runner = web.AppRunner(app, handle_signals=False)
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        port = site._server.sockets[0].getsockname()[1]  # type: ignore[union-attr]
+        runner, port = await _served(service)
         tasks = []
         for i in range(CALLERS):
             registry = Registry(lambda: loop.time() * 1000, GRACE_MS)
@@ -126,3 +131,40 @@
         assert sorted(heard.values())[CALLERS // 2] - DRAIN_AT < 1.0, "most at once, by a watch that goes on"
 
     play(scene, most=600.0)
+
+
+RESTARTED, READY_WITHIN_S = 20, 6.0  # a tenth of 200; the bound where a day ends soon
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_a_tenth_of_two_hundred_that_restart_together_are_ready_in_time(known: bool) -> None:
+    """The service is slow: three calls at work, 0.2 s each, and most others are turned down. With a list in
+    hand each is ready at once; without one it has to be heard first."""
+    ready_at: list[float] = []
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        service = Discovery()
+        runner, port = await _served(service)
+        tasks = []
+
+        async def note_ready(client: DiscoveryClient) -> None:
+            await client.ready.wait()
+            ready_at.append(loop.time())
+
+        for i in range(RESTARTED):
+            registry = Registry(lambda: loop.time() * 1000, GRACE_MS)
+            schedule = CallSchedule(True, 200, Random(i), 10_000.0)
+            client = DiscoveryClient(f"127.0.0.1:{port}", registry, lambda *_: None, schedule=schedule)
+            if known:
+                client.restore({"rev": 1, "all": True, "targets": [entry("ready")]})
+            tasks += [asyncio.create_task(client.run()), asyncio.create_task(note_ready(client))]
+        await asyncio.sleep(READY_WITHIN_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await runner.cleanup()
+
+    play(scene, most=60.0)
+    assert len(ready_at) >= 0.9 * RESTARTED
+    assert not known or max(ready_at) == 0.0
