The deaths of one cut between schedulers are counted together however far apart found

Cause of test_a_cut_between_zones_keeps_the_count_and_heals failing under load ('5 for 6'), traced: the first of three deaths was found over doubt_s (3 s there) before the others, was dropped as a lone one, and the other two were more than a quarter. A suspicion lasts up to 7.5 s in that group, and longer where a loaded member stretches its own times: the test depended on the machine, and the count on a setting that may be shorter than the group's own times (60 s by default, which is longer).

Change: doubt is never taken to be shorter than the longest suspicion as this member's health is now. The test waits 8.5 s, past that, in place of 4 s. A new test plays the deaths 3.2 s apart: 5 without the mend, 6 with it.

--- a/oxbowyard/membership/protocol.py
+++ b/oxbowyard/membership/protocol.py
@@ -338,11 +338,18 @@
         if member.state is State.ALIVE or member.state is State.SUSPECT:
             self._take(claim, now, "did not answer")
 
+    def longest_suspicion(self) -> float:
+        """Seconds for which this member suspects another one that nobody else suspects, as its own health is
+        now."""
+        return self._suspicion_lasts(0)
+
+    def _suspicion_lasts(self, confirmed: int) -> float:
+        return self.settings.suspicion_lasts(self.live(), confirmed) * (1 + self.health / 2)
+
     def _ends(self, name: str) -> float:
         member = self.view.members.get(name)
         confirmed = len(member.accusers) - 1 if member else 0
-        lasts = self.settings.suspicion_lasts(self.live(), max(confirmed, 0))
-        return self._suspicions[name] + lasts * (1 + self.health / 2)
+        return self._suspicions[name] + self._suspicion_lasts(max(confirmed, 0))
 
     def _judge_suspicions(self, now: float) -> None:
         for name in [n for n in self._suspicions if now >= self._ends(n)]:
--- a/oxbowyard/peers/count.py
+++ b/oxbowyard/peers/count.py
@@ -6,7 +6,8 @@
 
 - whoever is suspected counts, and whoever was found dead goes on counting for `doubt` seconds;
 - where more than a quarter died within `doubt` seconds it may be a cut, behind which they go on working: they
-  count for `split` seconds;
+  count for `split` seconds. The deaths of one cut are found apart, by up to the longest suspicion of the
+  group: `doubt` is never taken to be shorter than that;
 - whoever said goodbye does not count any more;
 - until this scheduler has met another one, and a while after, the configured number is the least.
 
@@ -52,8 +53,12 @@
         """Members found dead that still count."""
         return len(self._died)
 
-    def take(self, now: float, seen: Iterable[Seen]) -> int:
-        """The view as it is now; returns how many to reckon with, this one included."""
+    def take(self, now: float, seen: Iterable[Seen], longest_suspicion: float = 0.0) -> int:
+        """The view as it is now; returns how many to reckon with, this one included.
+
+        `longest_suspicion`: seconds by which the deaths of one cut may be found apart at this moment.
+        """
+        doubt = max(self._doubt, longest_suspicion)
         here, left = set[str](), set[str]()
         for member in seen:
             if member.here:
@@ -67,9 +72,9 @@
         for name in (here | left) & self._died.keys():
             self._drop(name)
         self._here = here
-        self._find_cuts(now)
+        self._find_cuts(now, doubt)
         for name, since in list(self._died.items()):
-            if now - since >= (self._split if name in self._in_cut else self._doubt):
+            if now - since >= (self._split if name in self._in_cut else doubt):
                 self._drop(name)
         self.live = len(here) + 1
         counted = self.live + len(self._died)
@@ -78,9 +83,9 @@
         self.count = counted
         return counted
 
-    def _find_cuts(self, now: float) -> None:
+    def _find_cuts(self, now: float, doubt: float) -> None:
         """Once so many died at once all of them are in doubt, and stay so."""
-        lately = [name for name, since in self._died.items() if now - since < self._doubt]
+        lately = [name for name, since in self._died.items() if now - since < doubt]
         if len(lately) > CUT_SHARE * (len(self._here) + 1 + len(self._died)):
             self._in_cut.update(lately)
 
--- a/oxbowyard/peers/part.py
+++ b/oxbowyard/peers/part.py
@@ -147,7 +147,7 @@
     def _reckon(self, now: float) -> None:
         before = self.count.count
         seen = (Seen(m.claim.name, m.here, m.state is State.LEFT) for m in self.node.group.view)
-        count = self.count.take(now, seen)
+        count = self.count.take(now, seen, self.node.group.longest_suspicion())
         if count != before:
             log.info("membership: reckons with %d schedulers (%d live, %d in doubt)", count, self.count.live,
                      self.count.doubted)  # fmt: skip
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -144,7 +144,7 @@
             return all(m.view()["count"]["live"] == 3 for m in members)
 
         until(apart, "each side is by itself")
-        time.sleep(4.0)  # longer than the dead are kept, and than one that died alone counts
+        time.sleep(8.5)  # longer than the dead are kept, and than one that died alone counts (7.5 s)
         for member in members:
             count = member.view()["count"]
             assert count["reckoned"] == 6 and count["live"] == 3, "in doubt the larger number"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -52,6 +52,17 @@
         assert count.take(now, others(known, dead, left)) == counted, f"at {now}"
 
 
+@pytest.mark.parametrize(("longest_suspicion", "counted"), [(0.0, 5), (7.5, 6)])
+def test_the_deaths_of_one_cut_are_found_apart(longest_suspicion: float, counted: int) -> None:
+    """Three of six are cut off; a loaded member finds the first 3.2 s before the others, and its time of
+    doubt is 3 s. It used to drop the first one as a lone death: 5 for 6."""
+    count = LiveCount(1, 3.0, SPLIT)
+    count.take(0.0, others(5))
+    for now, dead in ((20.0, 1), (23.2, 3), (27.0, 3)):
+        reckoned = count.take(now, others(5, dead), longest_suspicion)
+    assert reckoned == counted
+
+
 @given(st.lists(st.tuples(st.floats(0.1, 30), st.sets(st.integers(0, 7))), max_size=40), st.integers(1, 12))
 def test_it_is_never_under_those_known_to_live_in_the_time_of_doubt(
     steps: list[tuple[float, set[int]]], configured: int
