Names: disconnects, client_connected, why_not_sent

Mechanical: listeners/ends.py -> listeners/disconnects.py, peer_ended -> peer_disconnected, Req.wanted -> client_connected, is_wanted -> is_client_connected, barred -> why_not_sent. test_client_left, test_backends, test_structure, test_core: 176 passed.

--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -13,7 +13,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
-from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, barred, granted
+from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, granted, why_not_sent
 from ..decision.facade import Result
 from ..discovery.registry import Registry
 from .lines import MOST_LINES, LineReader, load_header, status_ending
@@ -46,7 +46,7 @@
         return await super().send(conn)
 
 
-class _Barred(Exception):
+class _NotSent(Exception):
     """The req may not be sent to the backend any more; the text says why."""
 
 
@@ -98,10 +98,10 @@
             response = await self._session.post(
                 url, data=body, headers=_headers(req, notes), allow_redirects=False
             )
-        except _Barred as why:
+        except _NotSent as why:
             return Ending(Result.NOT_SENT, reason=str(why))
         except (aiohttp.ClientError, OSError) as fault:
-            if isinstance(fault.__cause__, _Barred):
+            if isinstance(fault.__cause__, _NotSent):
                 return Ending(Result.NOT_SENT, reason=str(fault.__cause__))
             return _broken(fault, notes)
         return await self._read(response, req, notes)
@@ -113,7 +113,7 @@
         """
         if self._registry.address(backend) != address:
             # Connecting took long: its drain second has passed, or it is at another address by now.
-            raise _Barred("backend left while connecting")
+            raise _NotSent("backend left while connecting")
         held = 0
         if req.job_class in self.once and len(req.payload) > 1:
             # A backend that resets the connection at once does so before the last byte: then the job never
@@ -177,8 +177,8 @@
 
 def _still_allowed(req: Req, notes: FetchNotes) -> None:
     """Asked just before bytes of a request are written; raises if they may not be any more."""
-    if why := barred(req, notes):
-        raise _Barred(why)
+    if why := why_not_sent(req, notes):
+        raise _NotSent(why)
 
 
 async def _read_tail(response: aiohttp.ClientResponse) -> None:
--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -13,7 +13,7 @@
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import StreamResponse
 
-from ..listeners.ends import peer_ended, unread, unread_bytes
+from ..listeners.disconnects import peer_disconnected, unread, unread_bytes
 from .limits import (
     DRAIN_WITHIN,
     HEARD_WITHIN,
@@ -117,7 +117,7 @@
         """Whether the client is still there; an end that was not read yet is seen too, and acted on."""
         if self.transport is None or self.ended:
             return False
-        if peer_ended(self.transport):
+        if peer_disconnected(self.transport):
             self.ended = True
             self._loop.call_soon(self._went)
         return not self.ended
--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -14,7 +14,7 @@
 
 from ..core.req import Kind
 from ..core.scheduler import Scheduler
-from ..listeners.ends import peer_ended, unread
+from ..listeners.disconnects import peer_disconnected, unread
 from .connection import Connection, Phase
 from .limits import MOST_BODY, REQUEST_WITHIN, SHORT, SLOW, STRANGERS_SHARE, UNUSED, YOUNG
 from .wording import STATUS, Fault, answer_headers, read_class, read_req, read_target, single
@@ -202,7 +202,7 @@
     with bodies.hold(size) if bodies else nullcontext():
         payload = await read_body(request)
         req = read_req(request.method, request.raw_path, request.headers, payload, classes)
-        answer = await scheduler.serve(replace(req, wanted=lambda: _stays(request)))
+        answer = await scheduler.serve(replace(req, client_connected=lambda: _stays(request)))
     body = answer.body if answer.kind is Kind.SERVED else answer.reason.encode()
     return web.Response(status=STATUS[answer.kind], headers=answer_headers(answer), body=body)
 
@@ -211,7 +211,7 @@
     connection = request.protocol
     if isinstance(connection, Connection):
         return connection.stays()
-    return not peer_ended(connection.transport)
+    return not peer_disconnected(connection.transport)
 
 
 def fault_response(request: BaseRequest, fault: Fault) -> web.Response:
--- a/oxbowyard/core/req.py
+++ b/oxbowyard/core/req.py
@@ -72,17 +72,17 @@
     on_note: Callable[[Note], None] | None = None  # told what a backend says before the end
     # Asked by a transport just before the last byte: whether somebody still waits for the answer. A front
     # sets it whose clients may leave; a job that was promised to outlive its client has none.
-    wanted: Callable[[], bool] | None = None
+    client_connected: Callable[[], bool] | None = None
 
 
-def is_wanted(req: Req) -> bool:
+def is_client_connected(req: Req) -> bool:
     """Whether the req may still be sent on for its client."""
-    return req.wanted is None or req.wanted()
+    return req.client_connected is None or req.client_connected()
 
 
-def barred(req: Req, notes: FetchNotes) -> str:
+def why_not_sent(req: Req, notes: FetchNotes) -> str:
     """Why the req's last byte may not be handed over any more, just before it is; empty if it may."""
-    if not is_wanted(req):  # a loop held up, or one that does not read, learns of it too late
+    if not is_client_connected(req):  # a loop held up, or one that does not read, learns of it too late
         return "its client left"
     if asyncio.get_running_loop().time() > notes.not_after:
         return "too late for a repeat"
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -7,7 +7,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 
-from ..listeners.ends import peer_ended, unread, unsent_bytes
+from ..listeners.disconnects import peer_disconnected, unread, unsent_bytes
 from ..listeners.gate import Gate
 from ..waiting.order import End
 from .admin import Admin
@@ -172,7 +172,7 @@
 
     def stays(self) -> bool:
         """Whether the peer is still there, also where its end was not read yet."""
-        return not peer_ended(self._transport)
+        return not peer_disconnected(self._transport)
 
     @property
     def unheard(self) -> bool:
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -84,7 +84,7 @@
     running: bool = False
     done: tuple[bytes, bytes] = (b"0", b"0")  # numerator and denominator, as the worker gave them
 
-    def wanted(self) -> bool:
+    def client_connected(self) -> bool:
         """Whether it was left here to run, or somebody still waits for it."""
         return self.background or any(waiter.stays() for waiter in self.waiters)
 
@@ -248,7 +248,7 @@
             extras={"unique": job.unique.decode("latin-1"), "priority": str(priority)},
             on_running=lambda running: self._running(job, running),
             on_note=lambda note: self._note(job, note),
-            wanted=job.wanted,
+            client_connected=job.client_connected,
         )
 
     async def _serve(self, job: Job, req: Req) -> None:
--- a/oxbowyard/gearman/workers.py
+++ b/oxbowyard/gearman/workers.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, barred
+from ..core.req import Ending, FetchNotes, Note, NoteKind, Req, why_not_sent
 from ..decision.facade import Readiness, Result, Scope, WorkerInfo
 from ..waiting.order import AGED
 from .config import KIND, GearmanConfig
@@ -239,7 +239,7 @@
 
 def _end_barred(job: _HandOut) -> None:
     """Nobody waits for it any more, though the loop may not have read that yet, or its time is over."""
-    if not job.ending.done() and (why := barred(job.req, job.notes)):
+    if not job.ending.done() and (why := why_not_sent(job.req, job.notes)):
         job.end(Ending(Result.NOT_SENT, reason=why))
 
 
--- a/oxbowyard/listeners/ends.py
+++ b/oxbowyard/listeners/disconnects.py
@@ -15,7 +15,7 @@
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # closed, half-closed or reset
 
 
-def peer_ended(transport: asyncio.BaseTransport | None) -> bool:
+def peer_disconnected(transport: asyncio.BaseTransport | None) -> bool:
     """The peer has closed, half-closed or reset, whatever it sent before that."""
     return _told(transport, ENDED)
 
--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -260,7 +260,7 @@
         notes = FetchNotes(5.0, lambda: None)
         req = Req(
             "a1", "accession", 5.0, "/accession", b"hello",
-            grant=lambda backend, then: granted.append(then), wanted=lambda: there[0],
+            grant=lambda backend, then: granted.append(then), client_connected=lambda: there[0],
         )  # fmt: skip
         fetch = asyncio.create_task(stage.parts.backends.fetch("w1", req, notes))
         while not granted:
