--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -15,22 +15,22 @@
 
 from ..listeners.disconnects import peer_disconnected, unread, unread_bytes
 from .limits import (
-    DRAIN_WITHIN,
-    HEARD_WITHIN,
-    KEPT_FOR,
-    MOST_AHEAD,
-    MOST_FIELD,
-    MOST_FIELDS,
-    MOST_HEAD,
-    MOST_UNREAD,
-    READ_AT_ONCE,
-    REQUEST_WITHIN,
-    TAKEN_WITHIN,
+    DRAIN_TIMEOUT_S,
+    KEEP_ALIVE_TIMEOUT_S,
+    MAX_AHEAD_BYTES,
+    MAX_FIELD_BYTES,
+    MAX_FIELDS,
+    MAX_HEAD_BYTES,
+    MAX_UNREAD_BYTES,
+    READ_CHUNK_BYTES,
+    REQUEST_TIMEOUT_S,
+    RESPONSE_READ_TIMEOUT_S,
+    UNREAD_REQUEST_TIMEOUT_S,
 )
 
 LOOK_AGAIN = 0.02  # seconds until what lies unread has been read, or is looked at again
-LOOK_FOR_END = 0.025  # seconds between looks at a connection that is not read while its answer is owed
-END_SEEN_WITHIN = 0.02  # seconds after which an end of the client's sending is taken for its leaving
+DISCONNECT_POLL_S = 0.025  # seconds between looks at a connection that is not read while its answer is owed
+HALF_CLOSE_DELAY_S = 0.02  # seconds after which an end of the client's sending is taken for its leaving
 
 
 class Phase(Enum):
@@ -76,8 +76,8 @@
             manager,
             loop=asyncio.get_running_loop(),
             access_log=None,  # type: ignore[arg-type]  # documented, and off is what it means
-            max_field_size=MOST_FIELD,
-            max_headers=MOST_FIELDS,
+            max_field_size=MAX_FIELD_BYTES,
+            max_headers=MAX_FIELDS,
             auto_decompress=False,  # a body passes on as it came
             lingering_time=0.0,  # what is left of a body is dropped here, not parsed
         )
@@ -95,7 +95,7 @@
         self.has_asked = False  # for a job: only whoever asks for no job at all is a stranger
         self.phase = Phase.SILENT
         self.since = self._loop.time()
-        self.finish_by = self.since + REQUEST_WITHIN  # when the request that comes must be whole
+        self.finish_by = self.since + REQUEST_TIMEOUT_S  # when the request that comes must be whole
 
     # ---- Phases ----
 
@@ -127,11 +127,11 @@
         it stands behind more than the system holds for us."""
         if self.transport is None or self.transport.is_reading() or self.phase is not Phase.OWED:
             return
-        if unread_bytes(self.transport) > MOST_UNREAD:
+        if unread_bytes(self.transport) > MAX_UNREAD_BYTES:
             self._overrun = True
             self.transport.resume_reading()
         elif self._alarm is None and self.stays():
-            self._alarm = self._loop.call_later(LOOK_FOR_END, self._look_again)
+            self._alarm = self._loop.call_later(DISCONNECT_POLL_S, self._look_again)
 
     def _look_again(self) -> None:
         self._alarm = None
@@ -180,7 +180,7 @@
     def wind_down(self) -> None:
         """Close as soon as nothing is owed: a request that has come, read or not, gets its answer first."""
         self._winding_down = True
-        young = self.phase is Phase.SILENT and self._loop.time() < self.since + HEARD_WITHIN
+        young = self.phase is Phase.SILENT and self._loop.time() < self.since + UNREAD_REQUEST_TIMEOUT_S
         if self.phase not in (Phase.SILENT, Phase.KEPT) or self.transport is None:
             return  # its answer closes it, or its own time; or it is closed
         if young or unread(self.transport):
@@ -197,9 +197,9 @@
     # ---- What the transport tells ----
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """A new connection has come up: its request is expected within `REQUEST_WITHIN` seconds."""
+        """A new connection has come up: its request is expected within `REQUEST_TIMEOUT_S` seconds."""
         # The transport's own size would let one client hold four times as much at a time, and the loop.
-        transport.max_size = READ_AT_ONCE  # type: ignore[attr-defined]
+        transport.max_size = READ_CHUNK_BYTES  # type: ignore[attr-defined]
         super().connection_made(transport)
         self._enter(Phase.SILENT, self.finish_by)
 
@@ -218,18 +218,18 @@
         if self.phase is Phase.SILENT:
             self._enter(Phase.UNFINISHED, self.finish_by)
         elif self.phase is Phase.KEPT and data:  # the library may call this with none, to parse what waits
-            self.finish_by = self._loop.time() + REQUEST_WITHIN
+            self.finish_by = self._loop.time() + REQUEST_TIMEOUT_S
             self._enter(Phase.UNFINISHED, self.finish_by)
         super().data_received(data)
         if self.phase is Phase.OWED:
             self._ahead += len(data)
-            self._overrun = self._ahead > MOST_AHEAD  # not read on, its leaving could not be seen either
+            self._overrun = self._ahead > MAX_AHEAD_BYTES  # not read on, its leaving could not be seen either
             self._look_for_end()
         if self.phase is not Phase.UNFINISHED or self._pending:
             self._head = 0
             return
         self._head += len(data)
-        if self._head > MOST_HEAD:
+        if self._head > MAX_HEAD_BYTES:
             self._owner.counts["head too long"] += 1
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
@@ -242,7 +242,7 @@
         # has seen that; a moment later, an end that broke no body off means that the client went.
         self.ended = True
         if not self.break_off():
-            self._loop.call_later(END_SEEN_WITHIN, self._went)
+            self._loop.call_later(HALF_CLOSE_DELAY_S, self._went)
         return True
 
     def break_off(self) -> bool:
@@ -267,7 +267,7 @@
         if faulty or self._overrun:  # whatever follows here can't be trusted to be a request, or was dropped
             resp.force_close()
             self._owner.counts["bad requests" if faulty else "too much sent ahead"] += 1
-        self._enter(Phase.OWED, self._loop.time() + TAKEN_WITHIN)
+        self._enter(Phase.OWED, self._loop.time() + RESPONSE_READ_TIMEOUT_S)
         result = await super().finish_response(request, resp, start_time)
         self._answered += 1
         if (faulty or self._overrun) and self.transport is not None and not self.ended:
@@ -282,10 +282,10 @@
         now = self._loop.time()
         self._ahead = 0
         if self._pending:  # the next request came before its turn
-            self.finish_by = now + REQUEST_WITHIN
+            self.finish_by = now + REQUEST_TIMEOUT_S
             self._enter(Phase.UNFINISHED, self.finish_by)
         else:
-            self._enter(Phase.KEPT, now + KEPT_FOR)
+            self._enter(Phase.KEPT, now + KEEP_ALIVE_TIMEOUT_S)
             if self._winding_down:  # that answer was worded before the end began
                 self._loop.call_soon(self.wind_down)
 
@@ -299,7 +299,7 @@
     def _drain(self) -> None:
         """Our side is closed after the error; closing both at once would reset a client that still sends."""
         assert self.transport is not None
-        self._enter(Phase.DRAINING, self._loop.time() + DRAIN_WITHIN)
+        self._enter(Phase.DRAINING, self._loop.time() + DRAIN_TIMEOUT_S)
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.transport.resume_reading()  # it may stand still, for a body that nobody reads any more
--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -16,7 +16,7 @@
 from ..core.scheduler import Scheduler
 from ..listeners.disconnects import peer_disconnected, unread
 from .connection import Connection, Phase
-from .limits import MOST_BODY, REQUEST_WITHIN, SHORT, SLOW, STRANGERS_SHARE, UNUSED, YOUNG
+from .limits import MAX_BODY_BYTES, MAX_STRANGERS_SHARE, REQUEST_TIMEOUT_S, SHORT, SLOW, UNUSED, YOUNG
 from .wording import STATUS, Fault, answer_headers, read_class, read_req, read_target, single
 
 log = logging.getLogger("oxbowyard.clients")
@@ -110,12 +110,12 @@
         """How many more connections may come."""
         return max(self._most - len(self._open), 0)
 
-    def make_room(self) -> bool:
+    def evict_idle_connection(self) -> bool:
         """Close the connection that is needed least; its descriptor is free a moment later."""
         now = asyncio.get_running_loop().time()
         if self._close_one(DISPENSABLE, now):
             return True
-        if sum(c.is_stranger for c in self._open) >= STRANGERS_SHARE * self._most:
+        if sum(c.is_stranger for c in self._open) >= MAX_STRANGERS_SHARE * self._most:
             return False
         return self._close_one(WANTED, now)
 
@@ -196,8 +196,8 @@
     # Before the body is read: a request for nowhere is answered at once, however long its body is.
     path, _ = read_target(request.raw_path)
     read_class(path, single(request.headers, "Req-Kind"), request.method, classes)
-    size = MOST_BODY if request.content_length is None else request.content_length
-    if size > MOST_BODY:
+    size = MAX_BODY_BYTES if request.content_length is None else request.content_length
+    if size > MAX_BODY_BYTES:
         raise Fault(413, "a body holds 64 KiB at most")
     with bodies.hold(size) if bodies else nullcontext():
         payload = await read_body(request)
@@ -226,12 +226,12 @@
     return response
 
 
-async def read_body(request: BaseRequest, most: int = MOST_BODY) -> bytes:
+async def read_body(request: BaseRequest, most: int = MAX_BODY_BYTES) -> bytes:
     """The whole body, of so many bytes at most, in the time that its connection has; raises Fault."""
     body = bytearray()
     # Elsewhere, as in an application with our middleware, the library's own connection ends with the body.
     connection = request.protocol if isinstance(request.protocol, Connection) else None
-    finish_by = asyncio.get_running_loop().time() + REQUEST_WITHIN
+    finish_by = asyncio.get_running_loop().time() + REQUEST_TIMEOUT_S
     if connection is not None:
         finish_by = connection.finish_by
         connection.reading = request.content
--- a/oxbowyard/clients/waiting.py
+++ b/oxbowyard/clients/waiting.py
@@ -20,7 +20,7 @@
 from ..waiting.order import HIGH, LOW, Code, End, Job, Parent, Rejected, State, Wait, When
 from ..waiting.room import WaitingRoom
 from .connection import Understood
-from .limits import MOST_DEADLINE
+from .limits import MAX_DEADLINE_S
 from .session import WAITING_PATH, Bodies, read_body
 from .wording import (
     DEADLINE_FORM,
@@ -202,8 +202,8 @@
             form.patience_s, after, form.delay_s, form.not_before, form.quiet, PRIORITIES[form.priority],
             _tenant(form.tenant), token, print_, durable=True,
         )  # fmt: skip
-        deadline = MOST_DEADLINE if form.deadline_s is None else form.deadline_s
-        if not 0 < deadline <= MOST_DEADLINE:
+        deadline = MAX_DEADLINE_S if form.deadline_s is None else form.deadline_s
+        if not 0 < deadline <= MAX_DEADLINE_S:
             raise Fault(400, "deadline_s is out of range")
         return self._req(form.class_, form.id, target, payload, form.extra, deadline, wait), wait
 
@@ -236,7 +236,7 @@
             target,
             body,
             single(headers, "Req-Extra") or "",
-            read_deadline(deadline) if deadline else MOST_DEADLINE,
+            read_deadline(deadline) if deadline else MAX_DEADLINE_S,
             wait,
         )
         return await self._take([(req, wait)], many=False)
--- a/oxbowyard/clients/wording.py
+++ b/oxbowyard/clients/wording.py
@@ -10,7 +10,7 @@
 from multidict import MultiMapping
 
 from ..core.req import Answer, Kind, Req
-from .limits import MOST_DEADLINE
+from .limits import MAX_DEADLINE_S
 
 ID_FORM = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:~-]{0,127}", re.ASCII)
 DEADLINE_FORM = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])", re.ASCII)
@@ -73,7 +73,7 @@
     """How many seconds the client will wait."""
     form = DEADLINE_FORM.fullmatch(text or "")
     patience = float(form[1]) * UNITS[form[2]] if form else 0.0
-    if not 0 < patience <= MOST_DEADLINE:
+    if not 0 < patience <= MAX_DEADLINE_S:
         raise Fault(400, "Req-Deadline is missing or malformed")
     return patience
 
--- a/oxbowyard/control/door.py
+++ b/oxbowyard/control/door.py
@@ -57,7 +57,7 @@
         """How many more callers may come."""
         return max(self._most - len(self._open), 0)
 
-    def make_room(self) -> bool:
+    def evict_idle_connection(self) -> bool:
         """Close the caller silent longest: one that says nothing holds a place for nothing."""
         now = asyncio.get_running_loop().time()
         silent = [c for c in self._open if c.phase in (Phase.SILENT, Phase.UNFINISHED)]
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from ..clients.limits import BODIES_SHARE
+from ..clients.limits import MAX_BODIES_MEMORY_SHARE
 from ..clients.session import ClientSessions, Waiting
 from ..control.calls import Calls, Sources
 from ..control.door import ControlSessions
@@ -22,7 +22,7 @@
 from ..core.retune import live_part_only, retune
 from ..decision.interface import Settings
 from ..gearman.config import GearmanConfig
-from ..listeners.gate import Gate
+from ..listeners.acceptor import Acceptor
 from ..succession.files import BEAT_EVERY, Marks
 from ..succession.steps import Step, Succession
 from .assembly import Assembly, first_list, membership
@@ -91,8 +91,8 @@
         config = self._config = self._started.config
         self._discovery = config.discovery
         self._told_to_stop = asyncio.Event()
-        self._door: Gate | None = None
-        self._gate: Gate | None = None
+        self._admin_acceptor: Acceptor | None = None
+        self._acceptor: Acceptor | None = None
         folder = Path(tempfile.gettempdir())
         started = asyncio.get_running_loop().time()
         self._succession = Succession(Marks(folder, config.name, os.getpid()), started)
@@ -121,7 +121,7 @@
             self._parts.classes,
             self._is_up,
             self._parts.descriptors.clients,
-            int(config.memory_mb * BODIES_SHARE * (1 << 20)),
+            int(config.memory_mb * MAX_BODIES_MEMORY_SHARE * (1 << 20)),
             self._waiting_front(),
         )
 
@@ -168,7 +168,7 @@
             loop.add_signal_handler(number, self._told_to_stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         try:
-            self._gate = await self._start()
+            self._acceptor = await self._start()
         except OSError:
             await self._close()
             raise
@@ -187,9 +187,9 @@
         while True:
             await asyncio.sleep(BEAT_EVERY)
             step = self._succession.look(loop.time(), self._parts.scheduler.open_count)
-            if step is Step.HAND_OVER and self.state in (State.SERVING, State.RELOADING) and self._gate:
+            if step is Step.HAND_OVER and self.state in (State.SERVING, State.RELOADING) and self._acceptor:
                 self._enter(State.HANDING)
-                await self._gate.shut()
+                await self._acceptor.shut()
                 self._sessions.wind_down()
                 self._sessions.close_idle()
                 await self._further.hand_over()
@@ -199,14 +199,14 @@
 
     async def _resume(self) -> None:
         try:
-            gate = self._client_gate()
+            acceptor = self._client_acceptor()
         except OSError as fault:  # without clients it would stay for nothing: whoever starts it may again
             log.error("can't take clients again, ending: %s", fault)
             self._told_to_stop.set()
             return
         self._sessions.wind_up()
-        self._gate = gate
-        self._gate.open()
+        self._acceptor = acceptor
+        self._acceptor.open()
         self._enter(State.SERVING)
         try:
             await self._further.open()
@@ -214,18 +214,18 @@
         except OSError as fault:
             log.error("goes on without the operators' parts: %s", fault)
 
-    def _client_gate(self) -> Gate:
-        return Gate("http", self._config.host, self._config.port, self._sessions, shared=True)
+    def _client_acceptor(self) -> Acceptor:
+        return Acceptor("http", self._config.host, self._config.port, self._sessions, shared=True)
 
-    async def _start(self) -> Gate:
-        gate = self._client_gate()
+    async def _start(self) -> Acceptor:
+        acceptor = self._client_acceptor()
         if self._config.admin is not None:
-            self._door = Gate(
+            self._admin_acceptor = Acceptor(
                 "control",
                 *self._config.admin,
                 ControlSessions(Calls(self._control()), self._parts.descriptors.admin),
             )
-            self._door.open()
+            self._admin_acceptor.open()
         if self._parts.gearman:
             self._parts.gearman.listen()
         self._rotation.follow()  # before the first list: one put out before a replacement stays out
@@ -242,8 +242,8 @@
             if self._kept is not None:
                 self._parts.add_chore(self._kept.recovery(room, self._parts.deadlines).run())
         self._further.start()
-        gate.open()
-        return gate
+        acceptor.open()
+        return acceptor
 
     async def _wait_for_list(self) -> None:
         """Up once discovery has answered; when it is silent, the list kept from before has to do. A discovery
@@ -321,8 +321,8 @@
             self._parts.waiting.wind_down()
         await asyncio.sleep(ACCEPT_ON)
         self._enter(State.FINISHING)
-        if self._gate is not None:
-            await self._gate.shut()
+        if self._acceptor is not None:
+            await self._acceptor.shut()
         if self._parts.gearman:
             self._parts.gearman.wind_down()
         await self._sessions.close(max(self._longest, self._parts.scheduler.longest_left()) + 1.0)
@@ -334,14 +334,14 @@
         if self._kept:
             log.info("last: %s", self._kept.summary())
             await self._kept.close()
-        if self._door is not None:
-            self._door.close()
+        if self._admin_acceptor is not None:
+            self._admin_acceptor.close()
         self._succession.end()
         self._enter(State.STOPPED)
 
     async def _close(self) -> None:
-        if self._door is not None:
-            self._door.close()
+        if self._admin_acceptor is not None:
+            self._admin_acceptor.close()
         await self._further.close()
         await self._parts.close()
         if self._kept is not None:
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -7,8 +7,8 @@
 from collections import Counter, deque
 from collections.abc import Callable
 
+from ..listeners.acceptor import Acceptor
 from ..listeners.disconnects import peer_disconnected, unread, unsent_bytes
-from ..listeners.gate import Gate
 from ..waiting.order import End
 from .admin import Admin
 from .config import GearmanConfig
@@ -24,8 +24,10 @@
     Type.WORK_STATUS, Type.WORK_COMPLETE, Type.WORK_FAIL, Type.WORK_EXCEPTION, Type.WORK_DATA,
     Type.WORK_WARNING,
 )  # fmt: skip
-READ_AT_ONCE = 16 * 1024  # bytes taken from one peer before the others have their turn: some 1,300 packets
-DRAIN_WITHIN = 2.0  # seconds after an error that ends a connection, for what the peer still sends
+READ_CHUNK_BYTES = (
+    16 * 1024
+)  # bytes taken from one peer before the others have their turn: some 1,300 packets
+DRAIN_TIMEOUT_S = 2.0  # seconds after an error that ends a connection, for what the peer still sends
 FLUSH_WITHIN = 2.0  # seconds at the program's end for peers to read their last answers
 MOST_NAME = 512  # bytes of a function's name or a client's id: they are remembered
 UNREAD_PACKETS = 4  # a peer that leaves so many of the largest packets unread is cut off
@@ -68,7 +70,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         # The transport's own size would let one peer hold the loop for twenty thousand packets.
-        transport.max_size = READ_AT_ONCE  # type: ignore[attr-defined]
+        transport.max_size = READ_CHUNK_BYTES  # type: ignore[attr-defined]
         peer = transport.get_extra_info("peername")
         self.address = str(peer[0]) if peer else "-"
         self._expect()
@@ -102,7 +104,7 @@
         if self._transport is not None and self._transport.can_write_eof():
             self._transport.write_eof()
         self._expected()
-        self._alarm = asyncio.get_running_loop().call_later(DRAIN_WITHIN, self._late)
+        self._alarm = asyncio.get_running_loop().call_later(DRAIN_TIMEOUT_S, self._late)
         self._let_go()
 
     def _let_go(self) -> None:
@@ -276,14 +278,14 @@
         self.workers = workers
         self._admin = Admin(config, jobs, workers)
         self._connections: dict[Connection, None] = {}  # oldest first
-        self._gate: Gate | None = None
+        self._acceptor: Acceptor | None = None
         self._emptied: asyncio.Future[None] | None = None  # awaited when all are to end
         self.counts: Counter[str] = Counter()  # of what no line is logged for
 
     def listen(self) -> None:
         """Start to accept."""
-        self._gate = Gate("gearman", self.config.host, self.config.port, self)
-        self._gate.open()
+        self._acceptor = Acceptor("gearman", self.config.host, self.config.port, self)
+        self._acceptor.open()
 
     @property
     def free(self) -> int:
@@ -294,7 +296,7 @@
         """For a new connection."""
         return Connection(self)
 
-    def make_room(self) -> bool:
+    def evict_idle_connection(self) -> bool:
         """Close the oldest connection that has said nothing whole: no worker or client is among those."""
         silent = next((c for c in self._connections if c.silent and not c.unheard), None)
         if silent is not None:
@@ -304,7 +306,7 @@
 
     def admit(self, connection: Connection) -> bool:
         """Bound the connections."""
-        if len(self._connections) >= self.config.max_connections and not self.make_room():
+        if len(self._connections) >= self.config.max_connections and not self.evict_idle_connection():
             return False
         self._connections[connection] = None
         return True
@@ -327,8 +329,8 @@
     def wind_down(self) -> None:
         """Take no new job and no new connection; what runs goes on."""
         self.jobs.closing = True
-        if self._gate is not None:
-            self._gate.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
 
     async def close(self) -> None:
         """End all connections; the peers have some time to read what was written last, and to close."""
--- a/oxbowyard/listeners/gate.py
+++ b/oxbowyard/listeners/acceptor.py
@@ -27,14 +27,14 @@
     def free(self) -> int:
         """How many more connections may come."""
 
-    def make_room(self) -> bool:
+    def evict_idle_connection(self) -> bool:
         """Close the connection that is needed least, if any may go."""
 
     def make_connection(self) -> asyncio.Protocol:
         """For a new connection."""
 
 
-class Gate:
+class Acceptor:
     """The listener. What it does not accept yet waits in the system's backlog."""
 
     def __init__(self, front: str, host: str, port: int, sessions: Sessions, shared: bool = False) -> None:
@@ -61,7 +61,7 @@
             return
         self._stand_still()
         places = self._sessions.free  # past them one goes for each that comes: descriptors stay few
-        while self._accept(1) and (places > 1 or self._sessions.make_room()):
+        while self._accept(1) and (places > 1 or self._sessions.evict_idle_connection()):
             places -= 1
         self._stand_still()  # it may have wanted to go on later
         self._listener.close()
@@ -73,10 +73,10 @@
             await asyncio.wait(self._coming)
 
     def _ready(self) -> None:
-        """Somebody waits. Accepted in one step: whatever ends the gate, no connection is lost in between."""
+        """Somebody waits. Accepted in one step: whatever ends this, no connection is lost in between."""
         if self._sessions.free:
             self._accept(min(AT_ONCE, self._sessions.free))
-        elif not self._sessions.make_room():  # else there is room in the loop's next turn
+        elif not self._sessions.evict_idle_connection():  # else there is room in the loop's next turn
             self._stand_still(ROOM_AGAIN)
 
     def _stand_still(self, seconds: float | None = None) -> None:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -21,7 +21,7 @@
 from oxbowyard.daemon.config import load
 from oxbowyard.discovery.registry import parse_list
 from oxbowyard.gearman import config as gearman
-from oxbowyard.listeners.gate import Gate
+from oxbowyard.listeners.acceptor import Acceptor
 from oxbowyard.waiting.settings import WaitingSettings
 
 HERE = Path(__file__).parent
@@ -135,7 +135,7 @@
         self.parts = Assembly(self.config, packets, waiting=waiting, clock=lambda: loop.time() * 1000)
         self.scheduler = self.parts.scheduler
         self.sessions = ClientSessions(self.scheduler, self.parts.classes, lambda: True, 64, 1 << 24)
-        self.gate = Gate("http", "127.0.0.1", 0, self.sessions)
+        self.acceptor = Acceptor("http", "127.0.0.1", 0, self.sessions)
         self.worker = Worker()
         self._server: asyncio.Server | None = None
         self.clients: list[socket.socket] = []
@@ -143,7 +143,7 @@
     async def begin(self, listed: bool = True, names: tuple[str, ...] = ("w1",)) -> None:
         """Both fronts and the worker listen; the list names it, perhaps several times."""
         self._server = await asyncio.start_server(self.worker.serve, "127.0.0.1", 0)
-        self.gate.open()
+        self.acceptor.open()
         assert self.parts.gearman
         self.parts.gearman.listen()
         if listed:
@@ -160,8 +160,8 @@
 
     def client(self, front: str = "http") -> socket.socket:
         """A new connection; the system takes it, the loop has not seen it yet."""
-        gate = self.gate if front == "http" else self.parts.gearman._gate  # type: ignore[union-attr]
-        where = gate._listener.getsockname()  # type: ignore[union-attr]
+        acceptor = self.acceptor if front == "http" else self.parts.gearman._acceptor  # type: ignore[union-attr]
+        where = acceptor._listener.getsockname()  # type: ignore[union-attr]
         self.clients.append(socket.create_connection(where, 5.0))
         return self.clients[-1]
 
@@ -178,7 +178,7 @@
         """Close all."""
         for client in self.clients:
             client.close()
-        self.gate.close()
+        self.acceptor.close()
         await self.sessions.close(1.0)
         assert self.parts.gearman and self._server
         self.parts.gearman.wind_down()
--- a/tests/test_descriptions.py
+++ b/tests/test_descriptions.py
@@ -14,7 +14,7 @@
 from player import ROOT
 
 from oxbowyard.backends.lines import LAST, LineReader
-from oxbowyard.clients.limits import MOST_BODY
+from oxbowyard.clients.limits import MAX_BODY_BYTES
 from oxbowyard.clients.waiting import BatchForm, JobForm, JobView
 from oxbowyard.clients.wording import DEADLINE_FORM, ID_FORM, STATUS
 from oxbowyard.core.req import Ran
@@ -64,7 +64,9 @@
     for name, form in (("Req-Id", ID_FORM), ("Req-Deadline", DEADLINE_FORM)):
         for text in ("9b1f", "a b", "", "-x", "480m", "480", "1.5u", "1s", "~", "x" * 129):
             assert bool(re.fullmatch(forms[name][1:-1], text)) == bool(form.fullmatch(text)), (name, text)
-    assert SUBMIT["requestBody"]["content"]["application/octet-stream"]["schema"]["maxLength"] == MOST_BODY
+    assert (
+        SUBMIT["requestBody"]["content"]["application/octet-stream"]["schema"]["maxLength"] == MAX_BODY_BYTES
+    )
     assert {str(s) for s in STATUS.values()} <= set(SUBMIT["responses"])
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -24,7 +24,7 @@
 from oxbowyard.decision.interface import Repeat
 from oxbowyard.discovery.registry import parse_list
 from oxbowyard.gearman.packet import REQ, Type, encode
-from oxbowyard.listeners.gate import Gate
+from oxbowyard.listeners.acceptor import Acceptor
 
 
 def play(tmp_path: Path, scene: Callable[[Stage], Awaitable[None]], **changes: Any) -> None:
@@ -43,14 +43,14 @@
 async def _leave(stage: Stage) -> None:
     """As the program leaves, from when it accepts nothing more."""
     stage.sessions.wind_down()
-    await stage.gate.shut()
+    await stage.acceptor.shut()
     await stage.sessions.close(30.0)
 
 
 # ---- Exit ----
 
 
-@pytest.mark.parametrize("between", range(8))  # turns of the loop from the connect to the gate's end
+@pytest.mark.parametrize("between", range(8))  # turns of the loop from the connect to the acceptor's end
 @pytest.mark.parametrize("room", [True, False])
 def test_whoever_connected_before_the_gate_closed_is_answered(
     tmp_path: Path, between: int, room: bool
@@ -81,7 +81,7 @@
         clients = [stage.client() for _ in range(40)]
         for number, client in enumerate(clients):
             client.sendall(ask("preview", f"a{number}"))
-        stage.gate.close()
+        stage.acceptor.close()
         await turns(4)
         assert 4 <= len(stage.sessions._open) <= 9
         await _leave(stage)
@@ -267,10 +267,10 @@
         await turns()
         await asyncio.sleep(0.5)
         asks.sendall(ask("preview"))  # the longest silent one, and it lies unread
-        stage.sessions.make_room()
+        stage.sessions.evict_idle_connection()
         await asyncio.sleep(1.0)
         assert b" 200 OK" in await stage.read(asks)
-        assert stage.sessions.make_room() and await stage.read(silent) == b""
+        assert stage.sessions.evict_idle_connection() and await stage.read(silent) == b""
 
     play(tmp_path, scene)
 
@@ -291,7 +291,7 @@
 
         def and_room(connection: Connection, data: bytes) -> None:
             read(connection, data)
-            assert not stage.sessions.make_room()
+            assert not stage.sessions.evict_idle_connection()
 
         monkeypatch.setattr(Connection, "data_received", and_room)
         client.sendall(ask("accession")[cut:])
@@ -309,11 +309,11 @@
         peer = stage.client("gearman")
         await turns()
         peer.sendall(encode(Type.ECHO_REQ, b"here", magic=REQ))
-        assert not gearman.make_room()
+        assert not gearman.evict_idle_connection()
         assert await stage.read(peer) == encode(Type.ECHO_RES, b"here")
         silent = stage.client("gearman")
         await turns()
-        assert gearman.make_room() and b"CLOSED_FOR_ROOM" in await stage.read(silent)
+        assert gearman.evict_idle_connection() and b"CLOSED_FOR_ROOM" in await stage.read(silent)
 
     play(tmp_path, scene)
 
@@ -386,9 +386,9 @@
         lanes = [{**lane, "aim": 100.0, "deadline": 500.0} for lane in SETTINGS["lanes"]]
         stage = Stage(tmp_path, lanes=lanes)
         program = Program(lambda: Read(stage.config))
-        program._gate = await program._start()
+        program._acceptor = await program._start()
         worker = await asyncio.start_server(stage.worker.serve, "127.0.0.1", 0)
-        client = socket.create_connection(program._gate._listener.getsockname(), 5.0)
+        client = socket.create_connection(program._acceptor._listener.getsockname(), 5.0)
         client.sendall(ask("accession", patience=9.0))
         stage.worker.answer = False
         where = "{}:{}".format(*worker.sockets[0].getsockname()[:2])
@@ -405,7 +405,7 @@
         assert b" 200 OK" in await stage.read(client)
         client.close()
         worker.close()
-        stage.gate.close()
+        stage.acceptor.close()
 
     with asyncio.Runner(loop_factory=HeldLoop) as runner:
         runner.run(scene())
@@ -418,10 +418,10 @@
         config = Stage(tmp_path).config
         program = Program(lambda: Read(config))
 
-        def taken() -> Gate:
+        def taken() -> Acceptor:
             raise OSError("address in use")
 
-        program._client_gate = taken  # type: ignore[method-assign]
+        program._client_acceptor = taken  # type: ignore[method-assign]
         await program._resume()
         assert program._told_to_stop.is_set()
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -18,7 +18,7 @@
 from oxbowyard.decision.interface import JobClass, Settings
 from oxbowyard.gearman.config import load as load_gearman
 from oxbowyard.gearman.jobs import _key
-from oxbowyard.listeners.gate import ACCEPT_AGAIN, Gate
+from oxbowyard.listeners.acceptor import ACCEPT_AGAIN, Acceptor
 
 OTHERS = tuple(JobClass(name, aim=1000, deadline=5000) for name in ("label-check", "accession"))
 
@@ -50,12 +50,12 @@
             raise OSError(errno.EMFILE, "no descriptor")
 
     async def play() -> None:
-        gate = Gate("http", "127.0.0.1", 0, Sessions())  # type: ignore[arg-type]
-        with socket.create_connection(gate._listener.getsockname()):  # it stays readable all the time
-            gate._listener = Listener(gate._listener)  # type: ignore[assignment]
-            gate.open()
+        acceptor = Acceptor("http", "127.0.0.1", 0, Sessions())  # type: ignore[arg-type]
+        with socket.create_connection(acceptor._listener.getsockname()):  # it stays readable all the time
+            acceptor._listener = Listener(acceptor._listener)  # type: ignore[assignment]
+            acceptor.open()
             await asyncio.sleep(4.5 * ACCEPT_AGAIN)
-            gate.close()
+            acceptor.close()
             assert 2 <= Sessions.counts["no descriptor"] <= 6
             await asyncio.sleep(2 * ACCEPT_AGAIN)
             assert Sessions.counts["no descriptor"] <= 6, "once closed it stays closed"
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -19,7 +19,7 @@
 from oxbowyard.decision.facade import Readiness, WorkerInfo
 from oxbowyard.decision.interface import JobClass, Repeat
 from oxbowyard.discovery.registry import Change, Registry
-from oxbowyard.listeners.gate import Gate
+from oxbowyard.listeners.acceptor import Acceptor
 from oxbowyard.succession.files import STALE, Marks
 from oxbowyard.succession.steps import WAIT_MOST, Step, Succession
 
@@ -212,14 +212,14 @@
 
 def test_two_listeners_share_the_clients_address() -> None:
     async def play() -> None:
-        first = Gate("http", "127.0.0.1", 0, _NoSessions(), shared=True)
+        first = Acceptor("http", "127.0.0.1", 0, _NoSessions(), shared=True)
         port = first._listener.getsockname()[1]
-        second = Gate("http", "127.0.0.1", port, _NoSessions(), shared=True)
+        second = Acceptor("http", "127.0.0.1", port, _NoSessions(), shared=True)
         first.close()
         second.close()
-        alone = Gate("http", "127.0.0.1", 0, _NoSessions())
+        alone = Acceptor("http", "127.0.0.1", 0, _NoSessions())
         try:
-            Gate("http", "127.0.0.1", alone._listener.getsockname()[1], _NoSessions(), shared=True)
+            Acceptor("http", "127.0.0.1", alone._listener.getsockname()[1], _NoSessions(), shared=True)
         except OSError:
             pass
         else:
@@ -235,7 +235,7 @@
         self.counts: Counter[str] = Counter()
         self.free = 0
 
-    def make_room(self) -> bool:
+    def evict_idle_connection(self) -> bool:
         return False
 
     def make_connection(self) -> asyncio.Protocol:
