Names: admin server and handlers, maintenance, handover

Mechanical: control/door.py -> admin_server.py, calls.py -> handlers.py, rotation.py -> maintenance.py, ControlSessions -> AdminSessions, Calls -> AdminHandlers, Rotation -> Maintenance, HandFile -> MaintenanceFile; package succession -> handover, Succession -> Handover.

--- a/oxbowyard/control/door.py
+++ b/oxbowyard/control/admin_server.py
@@ -15,7 +15,7 @@
 
 log = logging.getLogger("oxbowyard.control")
 
-MOST_CALLERS = 32  # connections held at once by default; past it the one silent longest is closed for room
+MAX_CALLERS = 32  # connections held at once by default; past it the one silent longest is closed for room
 SILENT_FOR = 0.2  # seconds a silent caller may stay when another needs its room
 MOST_CALL_BODY = 4096  # bytes: the calls have no body; a large one is no call of ours, and is not read
 
@@ -32,10 +32,10 @@
 Ask = Callable[[str, str], Reply]  # method and path to a reply; raises nothing
 
 
-class ControlSessions:
+class AdminSessions:
     """Holds the callers' connections. Each answer closes its connection: one call to one connection."""
 
-    def __init__(self, ask: Ask, most: int = MOST_CALLERS) -> None:
+    def __init__(self, ask: Ask, most: int = MAX_CALLERS) -> None:
         self._ask = ask
         self._most = most
         self._open: dict[Connection, None] = {}
--- a/oxbowyard/control/calls.py
+++ b/oxbowyard/control/handlers.py
@@ -7,8 +7,8 @@
 
 import orjson
 
-from .door import Reply
-from .rotation import Rotation
+from .admin_server import Reply
+from .maintenance import Maintenance
 
 READY = "/control/ready"
 COUNTERS = "/control/counters"
@@ -23,11 +23,11 @@
 
     is_ready: Callable[[], bool]
     figures: Callable[[], Mapping[str, object]]
-    rotation: Rotation | None = None
+    maintenance: Maintenance | None = None
     members: Callable[[], Mapping[str, object]] | None = None  # where schedulers know each other
 
 
-class Calls:
+class AdminHandlers:
     """Answers the operators' calls. A yes is 2xx; a no is 4xx, or 503 for a process that is not ready."""
 
     def __init__(self, sources: Sources) -> None:
@@ -54,10 +54,10 @@
             return Reply(404, b"no such call\n")
         if method != "PUT":
             return Reply(405, b"ask with PUT\n")
-        rotation = self._sources.rotation
-        if rotation is None:
+        maintenance = self._sources.maintenance
+        if maintenance is None:
             return Reply(404, b"no scan workers here\n")
-        done = rotation.out(uid) if what == "offline" else rotation.back(uid)
+        done = maintenance.out(uid) if what == "offline" else maintenance.back(uid)
         if not done:
             return Reply(404, f"scan worker {uid} is not known\n".encode())
         return Reply(200, f"scan worker {uid} {what}\n".encode())
--- a/oxbowyard/control/rotation.py
+++ b/oxbowyard/control/maintenance.py
@@ -15,13 +15,13 @@
 log = logging.getLogger("oxbowyard.control")
 
 FOLLOW_EVERY = 0.2  # seconds between looks at the file: a call to the other process binds here within 1 s
-MOST_OUT = 10_000  # uids the file may name; more are not read, as from a file that is not ours
+MAX_IN_MAINTENANCE = 10_000  # uids the file may name; more are not read, as from a file that is not ours
 MOST_FILE = 1 << 20  # bytes of the file read at most, for the same reason
 
 Learn = Callable[[Scope, tuple[WorkerInfo, ...]], None]
 
 
-class HandFile:
+class MaintenanceFile:
     """The uids out by hand, in one JSON list. Each change reads the file anew and replaces it whole, so
     that two processes of one scheduler that take calls at once each keep the other's."""
 
@@ -57,7 +57,7 @@
         except (OSError, ValueError) as fault:  # cut short, or not ours
             log.warning("list of backends out by hand not readable: %s", fault)
             return None
-        return frozenset(uid for uid in found[:MOST_OUT] if isinstance(uid, str))
+        return frozenset(uid for uid in found[:MAX_IN_MAINTENANCE] if isinstance(uid, str))
 
     def change(self, uid: str, out: bool, in_hand: frozenset[str] = frozenset()) -> None:
         """Add or take away one uid, leaving the rest as the file has it now, or as it is in hand where the
@@ -76,10 +76,10 @@
             log.error("list of backends out by hand not written: %s", fault)
 
 
-class Rotation:
+class Maintenance:
     """Puts backends out of rotation and back, here and, through the file, in a process beside this one."""
 
-    def __init__(self, registry: Registry, learn: Learn, file: HandFile | None = None) -> None:
+    def __init__(self, registry: Registry, learn: Learn, file: MaintenanceFile | None = None) -> None:
         self._registry = registry
         self._learn = learn
         self._file = file
@@ -94,8 +94,12 @@
         """What another scheduler was told. One that is not listed yet drains from its first listing."""
         if out == (uid in self._registry.by_hand):
             return
-        if out and len(self._registry.by_hand) >= MOST_OUT:
-            log.error("backend %s: told to drain by another scheduler, but %d are out already", uid, MOST_OUT)
+        if out and len(self._registry.by_hand) >= MAX_IN_MAINTENANCE:
+            log.error(
+                "backend %s: told to drain by another scheduler, but %d are out already",
+                uid,
+                MAX_IN_MAINTENANCE,
+            )
             return
         self._put(uid, out, known_or_not=True)
         if self._file is not None:
--- a/oxbowyard/daemon/assembly.py
+++ b/oxbowyard/daemon/assembly.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..backends.http import HttpBackends
-from ..control.rotation import Rotation
+from ..control.maintenance import Maintenance
 from ..core.clock import steady_unix_ms
 from ..core.measure import ServiceMeasure
 from ..core.req import BackendTransport, RoutedTransport
@@ -147,7 +147,7 @@
 
 
 def membership(
-    settings: MembershipSettings, parts: Assembly, rotation: Rotation, state: Callable[[], str]
+    settings: MembershipSettings, parts: Assembly, maintenance: Maintenance, state: Callable[[], str]
 ) -> MembershipPart:
     """The group of schedulers as a part of the program."""
     from ..gearman.admin import VERSION
@@ -167,7 +167,7 @@
             version=VERSION.rpartition(" ")[2], random=SystemRandom(), clock=parts.clock, state=state,
             held=lambda: scheduler.open_count, slots=parts.slots, workers=lambda: parts.registry.listed,
             troubles=scheduler.troubles, hear=scheduler.hear, reckon=reckon,
-            drained=lambda: rotation.by_hand, drain=rotation.take,
+            drained=lambda: maintenance.by_hand, drain=maintenance.take,
         ),
     )  # fmt: skip
 
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -15,16 +15,16 @@
 
 from ..clients.limits import MAX_BODIES_MEMORY_SHARE
 from ..clients.session import ClientSessions, Waiting
-from ..control.calls import Calls, Sources
-from ..control.door import ControlSessions
+from ..control.admin_server import AdminSessions
 from ..control.figures import Counted, Files, figures
-from ..control.rotation import FOLLOW_EVERY, HandFile, Rotation
+from ..control.handlers import AdminHandlers, Sources
+from ..control.maintenance import FOLLOW_EVERY, Maintenance, MaintenanceFile
 from ..core.retune import live_part_only, retune
 from ..decision.interface import Settings
 from ..gearman.config import GearmanConfig
+from ..handover.files import BEAT_EVERY, Marks
+from ..handover.steps import Handover, Step
 from ..listeners.acceptor import Acceptor
-from ..succession.files import BEAT_EVERY, Marks
-from ..succession.steps import Step, Succession
 from .assembly import Assembly, first_list, membership
 from .collector import collect_when_few, spare_full_passes
 from .config import BadConfig, Config, lacks, needs_restart
@@ -95,7 +95,7 @@
         self._acceptor: Acceptor | None = None
         folder = Path(tempfile.gettempdir())
         started = asyncio.get_running_loop().time()
-        self._succession = Succession(Marks(folder, config.name, os.getpid()), started)
+        self._handover = Handover(Marks(folder, config.name, os.getpid()), started)
         self._files = Files()
         self._in_force = config.settings  # its classes and fetches change with SIGHUP
         self._settling: asyncio.TimerHandle | None = None
@@ -105,12 +105,12 @@
         self._parts = Assembly(
             config, self._started.gearman, self._settled, self._started.waiting, self._kept
         )
-        hand = HandFile(Path(tempfile.gettempdir()) / f"oxbowyard-{config.name}-out-by-hand.json")
-        self._rotation = Rotation(self._parts.registry, self._parts.scheduler.learn, hand)
+        hand = MaintenanceFile(Path(tempfile.gettempdir()) / f"oxbowyard-{config.name}-out-by-hand.json")
+        self._maintenance = Maintenance(self._parts.registry, self._parts.scheduler.learn, hand)
         self._membership: MembershipPart | None = None
         if self._started.membership is not None:
             self._membership = membership(
-                self._started.membership, self._parts, self._rotation, lambda: DOES[self.state]
+                self._started.membership, self._parts, self._maintenance, lambda: DOES[self.state]
             )
         further: list[Part] = [self._membership] if self._membership else []
         if self._started.start is not None:
@@ -144,18 +144,18 @@
         return Sources(
             self._is_ready,
             lambda: figures(counted, parts.scheduler.open_count),
-            self._rotation,
+            self._maintenance,
             self._membership.view if self._membership else None,
         )
 
     async def _follow_hand(self) -> None:
         while True:
             await asyncio.sleep(FOLLOW_EVERY)
-            self._rotation.follow()
+            self._maintenance.follow()
 
     def _is_ready(self) -> bool:
         """For the operators: this process serves, is not told to stop, and has no other one to wait for."""
-        return self._is_up() and not self._told_to_stop.is_set() and self._succession.may_say_yes
+        return self._is_up() and not self._told_to_stop.is_set() and self._handover.may_say_yes
 
     def _enter(self, state: State) -> None:
         log.info("state %s -> %s", self.state.value, state.value)
@@ -172,7 +172,7 @@
         except OSError:
             await self._close()
             raise
-        self._succession.start()
+        self._handover.start()
         self._parts.add_chore(self._succeed())
         await self._wait_for_list()
         if not self._told_to_stop.is_set():
@@ -186,7 +186,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(BEAT_EVERY)
-            step = self._succession.look(loop.time(), self._parts.scheduler.open_count)
+            step = self._handover.look(loop.time(), self._parts.scheduler.open_count)
             if step is Step.HAND_OVER and self.state in (State.SERVING, State.RELOADING) and self._acceptor:
                 self._enter(State.HANDING)
                 await self._acceptor.shut()
@@ -223,14 +223,14 @@
             self._admin_acceptor = Acceptor(
                 "control",
                 *self._config.admin,
-                ControlSessions(Calls(self._control()), self._parts.descriptors.admin),
+                AdminSessions(AdminHandlers(self._control()), self._parts.descriptors.admin),
             )
             self._admin_acceptor.open()
         if self._parts.gearman:
             self._parts.gearman.listen()
-        self._rotation.follow()  # before the first list: one put out before a replacement stays out
+        self._maintenance.follow()  # before the first list: one put out before a replacement stays out
         if self._membership is not None:
-            self._rotation.on_change = self._membership.drained
+            self._maintenance.on_change = self._membership.drained
         await self._further.open()
         self._parts.start()
         self._parts.add_chore(self._follow_hand())
@@ -336,7 +336,7 @@
             await self._kept.close()
         if self._admin_acceptor is not None:
             self._admin_acceptor.close()
-        self._succession.end()
+        self._handover.end()
         self._enter(State.STOPPED)
 
     async def _close(self) -> None:
--- a/oxbowyard/succession/files.py
+++ b/oxbowyard/handover/files.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-log = logging.getLogger("oxbowyard.succession")
+log = logging.getLogger("oxbowyard.succession")  # as operators know it
 
 BEAT_EVERY = 0.2  # seconds between touches of a process's own file, and looks at the other's
 STALE = 1.0  # seconds untouched after which a file's process is taken for gone
--- a/oxbowyard/succession/steps.py
+++ b/oxbowyard/handover/steps.py
@@ -8,7 +8,7 @@
 
 from .files import Marks
 
-log = logging.getLogger("oxbowyard.succession")
+log = logging.getLogger("oxbowyard.succession")  # as operators know it
 
 WAIT_MOST = 4.5  # seconds from its start that a new process waits for the old one: its yes is owed within 6
 
@@ -23,7 +23,7 @@
 
 
 @dataclass(slots=True)
-class Succession:
+class Handover:
     """One process's side. A process that starts while another serves is a successor until it takes over."""
 
     files: Marks
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -13,15 +13,15 @@
 import pytest
 from test_core import FREE, ONCE, SETTINGS, Stage, lost
 
-from oxbowyard.control.rotation import HandFile, Rotation
+from oxbowyard.control.maintenance import Maintenance, MaintenanceFile
 from oxbowyard.core.req import Kind
 from oxbowyard.core.retune import live_part_only, retune
 from oxbowyard.decision.facade import Readiness, WorkerInfo
 from oxbowyard.decision.interface import JobClass, Repeat
 from oxbowyard.discovery.registry import Change, Registry
+from oxbowyard.handover.files import STALE, Marks
+from oxbowyard.handover.steps import WAIT_MOST, Handover, Step
 from oxbowyard.listeners.acceptor import Acceptor
-from oxbowyard.succession.files import STALE, Marks
-from oxbowyard.succession.steps import WAIT_MOST, Step, Succession
 
 NEW = JobClass("new", aim=500, deadline=4000, repeat=Repeat.FREE)
 
@@ -126,7 +126,7 @@
         registry = Registry(Clock(), drain_grace=1000.0)
         registry.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
         learn = lambda scope, infos, name=name: told.append((name, list(infos)))  # noqa: E731
-        sides.append((registry, Rotation(registry, learn, HandFile(path))))
+        sides.append((registry, Maintenance(registry, learn, MaintenanceFile(path))))
     (old, old_rotation), (new, new_rotation) = sides
     assert old_rotation.out("w1")
     assert new_rotation.out("w2")  # before it has read the other's call: both stay
@@ -144,7 +144,7 @@
     path = tmp_path / "out.json"
     path.write_text('["w1"]')
     registry = Registry(Clock(), drain_grace=1000.0)
-    Rotation(registry, lambda scope, infos: None, HandFile(path)).follow()
+    Maintenance(registry, lambda scope, infos: None, MaintenanceFile(path)).follow()
     _, told = registry.apply(listing(("w1", Readiness.READY)))
     assert told[0].readiness is Readiness.DRAINING and registry.address("w1") is None
 
@@ -177,17 +177,17 @@
     path.parent.mkdir()
     registry = Registry(Clock(), drain_grace=1000.0)
     registry.apply(listing(("w1", Readiness.READY), ("w2", Readiness.READY)))
-    rotation = Rotation(registry, lambda scope, infos: None, HandFile(path))
-    rotation.out("w1")
+    maintenance = Maintenance(registry, lambda scope, infos: None, MaintenanceFile(path))
+    maintenance.out("w1")
     BREAKS[how](path)
     for _ in range(3):
-        rotation.follow()
+        maintenance.follow()
         assert registry.by_hand == {"w1"} and registry.address("w2") is not None
-    assert rotation.out("w2")
-    rotation.follow()
+    assert maintenance.out("w2")
+    maintenance.follow()
     assert registry.by_hand == {"w1", "w2"}
     fresh = Registry(Clock(), drain_grace=1000.0)
-    Rotation(fresh, lambda scope, infos: None, HandFile(path)).follow()
+    Maintenance(fresh, lambda scope, infos: None, MaintenanceFile(path)).follow()
     assert fresh.by_hand in ({"w1", "w2"}, set()), "all are on record, or it can't be written"
     assert fresh.by_hand or not path.is_file()
 
@@ -196,14 +196,14 @@
     path = tmp_path / "out.json"
     path.write_text('{"w1": tru')
     registry = Registry(Clock(), drain_grace=1000.0)
-    rotation = Rotation(registry, lambda scope, infos: None, HandFile(path))
-    rotation.follow()
+    maintenance = Maintenance(registry, lambda scope, infos: None, MaintenanceFile(path))
+    maintenance.follow()
     assert registry.by_hand == set()
     path.write_text('["w1"]')
-    rotation.follow()
+    maintenance.follow()
     assert registry.by_hand == {"w1"}
     path.unlink()
-    rotation.follow()
+    maintenance.follow()
     assert registry.by_hand == set()
 
 
@@ -245,8 +245,8 @@
 # ---- Handing over at a replacement ----
 
 
-def sides(folder: Path) -> tuple[Succession, Succession]:
-    return Succession(Marks(folder, "n1", 100), 0.0), Succession(Marks(folder, "n1", 200), 10.0)
+def sides(folder: Path) -> tuple[Handover, Handover]:
+    return Handover(Marks(folder, "n1", 100), 0.0), Handover(Marks(folder, "n1", 200), 10.0)
 
 
 def test_a_lone_process_takes_over_at_once(tmp_path: Path) -> None:
