--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -604,10 +604,11 @@
 
     def _hold(self, pool: _Pool, now: float) -> float:
         """A job's time in a slot. Where few have ended, what still runs counts: short ones end first."""
+        unknown = self.settings.tip_after
         if pool.seen >= HOLD_LEARNED:
             return pool.hold
         running = [now - a.started for w in self.ready if w.pool is pool for a in w.running]
-        return books.censored_mean(pool.hold, pool.seen, running, self.settings.tip_after)
+        return max(pool.hold, min(books.censored_mean(pool.hold, pool.seen, running, unknown), unknown))
 
     # ---- Retry ----
 
