--- a/oxbowyard/clients/session.py
+++ b/oxbowyard/clients/session.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Iterable, Iterator
 from contextlib import contextmanager, nullcontext
 from dataclasses import replace
@@ -16,6 +15,7 @@
 from ..core.scheduler import Scheduler
 from ..listeners.disconnects import peer_disconnected, unread
 from .connection import Connection, Phase
+from .connection_set import ConnectionSet
 from .limits import MAX_BODY_BYTES, MAX_STRANGERS_SHARE, REQUEST_TIMEOUT_S, SHORT, SLOW, UNUSED, YOUNG
 from .wording import STATUS, Fault, answer_headers, read_class, read_req, read_target, single
 
@@ -66,7 +66,7 @@
 Waiting = Callable[[BaseRequest, Bodies | None], Awaitable[web.StreamResponse]]  # raises Fault
 
 
-class ClientSessions:
+class ClientSessions(ConnectionSet):
     """Takes requests off the clients' connections and answers them."""
 
     def __init__(
@@ -78,38 +78,21 @@
         most_bytes: int,
         waiting: Waiting | None = None,
     ) -> None:
+        super().__init__(self._handle, most)
         self._scheduler = scheduler
         self.classes = classes  # that clients may name; other settings may bring others
         self._is_up = is_up
-        self._most = most
         self._bodies = Bodies(most_bytes)
         self._waiting = waiting
         self._closing = False
-        self._open: dict[Connection, None] = {}  # oldest first
         self._emptied: asyncio.Future[None] | None = None  # awaited when all are to end
-        self.counts: Counter[str] = Counter()  # of what no line is logged for
-        self.server = web.Server(
-            self._handle,
-            handler_cancellation=True,  # a client that goes ends the wait for its answer
-        )
-
-    def make_connection(self) -> asyncio.Protocol:
-        """For a new connection; `room` said that there is room for it."""
-        connection = Connection(self.server, self)
-        self._open[connection] = None
-        return connection
 
     def left(self, connection: Connection) -> None:
         """A connection has ended."""
-        self._open.pop(connection, None)
+        super().left(connection)
         if not self._open and self._emptied is not None and not self._emptied.done():
             self._emptied.set_result(None)
 
-    @property
-    def free(self) -> int:
-        """How many more connections may come."""
-        return max(self._most - len(self._open), 0)
-
     def evict_idle_connection(self) -> bool:
         """Close the connection that is needed least; its descriptor is free a moment later."""
         now = asyncio.get_running_loop().time()
@@ -125,9 +108,7 @@
             # What has come on it is read and taken first: closed now, a whole request would be lost unheard.
             heard = least is None or least.phase is Phase.DRAINING or not least.unheard
             if least is not None and now - least.since >= after and heard:
-                self.counts["closed for room"] += 1
-                least.yield_place()
-                self.left(least)
+                self._evict(least)
                 return True
         return False
 
--- a/oxbowyard/control/admin_server.py
+++ b/oxbowyard/control/admin_server.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
 
-from ..clients.connection import Connection, Phase
+from ..clients.connection import Phase
+from ..clients.connection_set import ConnectionSet
 
 log = logging.getLogger("oxbowyard.control")
 
@@ -32,30 +32,12 @@
 Ask = Callable[[str, str], Reply]  # method and path to a reply; raises nothing
 
 
-class AdminSessions:
+class AdminSessions(ConnectionSet):
     """Holds the callers' connections. Each answer closes its connection: one call to one connection."""
 
     def __init__(self, ask: Ask, most: int = MAX_CALLERS) -> None:
+        super().__init__(self._handle, most)
         self._ask = ask
-        self._most = most
-        self._open: dict[Connection, None] = {}
-        self.counts: Counter[str] = Counter()
-        self.server = web.Server(self._handle, handler_cancellation=True)
-
-    def make_connection(self) -> asyncio.Protocol:
-        """For a new caller."""
-        connection = Connection(self.server, self)
-        self._open[connection] = None
-        return connection
-
-    def left(self, connection: Connection) -> None:
-        """A caller's connection has ended."""
-        self._open.pop(connection, None)
-
-    @property
-    def free(self) -> int:
-        """How many more callers may come."""
-        return max(self._most - len(self._open), 0)
 
     def evict_idle_connection(self) -> bool:
         """Close the caller silent longest: one that says nothing holds a place for nothing."""
@@ -64,9 +46,7 @@
         least = min(silent, key=lambda c: c.since, default=None)
         if least is None or now - least.since < SILENT_FOR:
             return False
-        self.counts["closed for room"] += 1
-        least.yield_place()
-        self.left(least)
+        self._evict(least)
         return True
 
     async def close(self) -> None:
--- a/oxbowyard/control/maintenance.py
+++ b/oxbowyard/control/maintenance.py
@@ -107,20 +107,18 @@
 
     def out(self, uid: str) -> bool:
         """Out by hand from now on; False for a uid that is not known."""
-        if not self._put(uid, True):
-            return False
-        if self._file is not None:
-            self._file.change(uid, True, self.by_hand)
-        self.on_change(uid, True)
-        return True
+        return self._set(uid, out=True)
 
     def back(self, uid: str) -> bool:
         """Back in rotation; False for a uid that is not known."""
-        if not self._put(uid, False):
+        return self._set(uid, out=False)
+
+    def _set(self, uid: str, out: bool) -> bool:
+        if not self._put(uid, out):
             return False
         if self._file is not None:
-            self._file.change(uid, False, self.by_hand)
-        self.on_change(uid, False)
+            self._file.change(uid, out, self.by_hand)
+        self.on_change(uid, out)
         return True
 
     def follow(self) -> None:
