--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -170,7 +170,7 @@
 
 QUEUED_SHARE = 0.1  # a job that waited for more than this share of a job's time was queued
 SLOT_STEP = 0.1  # how fast one start moves the learned slots
-HOLD_SAMPLES, HOLD_LEARNED = 200, 20  # jobs that a mean is taken over; that make it sure enough
+HOLD_SAMPLES, HOLD_LEARNED = 200, 5  # jobs that a mean is taken over; that make it sure enough
 CONNECT_SAMPLES, CONNECT_FADES_MS = 8, 10000.0  # new connections are few: a price soon learned, and kept
 WAIT_SAMPLES = 6  # starts that the fleet's mean wait is taken over
 RATIO_SAMPLES = 50  # how many jobs a kind's pace is averaged over
