--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -26,6 +26,7 @@
     Refuse,
     Result,
     Scope,
+    Snapshot,
     Trouble,
     Turn,
     WorkerInfo,
@@ -147,6 +148,14 @@
         """So many schedulers send to the same backends from now on."""
         self._facade.reckon(siblings)
 
+    def snapshot(self) -> Snapshot:
+        """What the decisions have learned, for a process that replaces this one."""
+        return self._facade.snapshot()
+
+    def adopt(self, learned: Snapshot) -> None:
+        """Go on from what the process that this one replaces has learned."""
+        self._facade.adopt(learned)
+
     def troubles(self) -> list[Trouble]:
         """Backends that own fetches show to be in trouble; it walks all of them. A cold start that the list
         tells is left out: all are told it."""
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -23,6 +23,7 @@
 from ..decision.interface import Settings
 from ..gearman.config import GearmanConfig
 from ..handover.files import BEAT_EVERY, Marks
+from ..handover.learned import LearnedFile
 from ..handover.steps import Handover, Step
 from ..listeners.acceptor import Acceptor
 from .assembly import Assembly, first_list, membership
@@ -105,6 +106,7 @@
         self._parts = Assembly(
             config, self._started.gearman, self._settled, self._started.waiting, self._kept
         )
+        self._learned = LearnedFile(folder, config.name, os.getpid(), self._parts.clock)
         hand = MaintenanceFile(Path(tempfile.gettempdir()) / f"oxbowyard-{config.name}-out-by-hand.json")
         self._maintenance = Maintenance(self._parts.registry, self._parts.scheduler.learn, hand)
         self._membership: MembershipPart | None = None
@@ -184,11 +186,16 @@
     async def _succeed(self) -> None:
         """Looks at the files of a replacement: hands over to a new process, or takes over from an old one."""
         loop = asyncio.get_running_loop()
+        adopted = False
         while True:
             await asyncio.sleep(BEAT_EVERY)
+            if self._handover.waiting and not adopted:
+                adopted = self._adopt()
             step = self._handover.look(loop.time(), self._parts.scheduler.open_count)
             if step is Step.HAND_OVER and self.state in (State.SERVING, State.RELOADING) and self._acceptor:
                 self._enter(State.HANDING)
+                if (successor := self._handover.successor) is not None:
+                    self._learned.write(self._parts.scheduler.snapshot(), successor)
                 await self._acceptor.shut()
                 self._sessions.wind_down()
                 self._sessions.close_idle()
@@ -197,6 +204,15 @@
                 log.warning("the new process went before it took over: this one takes clients again")
                 await self._resume()
 
+    def _adopt(self) -> bool:
+        """Go on from what the old process has learned, once it has written that."""
+        learned = self._learned.read()
+        if learned is None:
+            return False
+        self._parts.scheduler.adopt(learned)
+        log.info("goes on from what the old process has learned of %d workers", len(learned.workers))
+        return True
+
     async def _resume(self) -> None:
         try:
             acceptor = self._client_acceptor()
--- a/oxbowyard/decision/books.py
+++ b/oxbowyard/decision/books.py
@@ -5,7 +5,7 @@
 import hashlib
 import math
 from bisect import bisect
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -60,6 +60,16 @@
         """How many values were taken in."""
         return self._means.get(name, (0, 0.0))[0]
 
+    def state(self) -> dict[str, tuple[int, float]]:
+        """By name: how many values, and their mean."""
+        return dict(self._means)
+
+    def restore(self, state: Mapping[str, tuple[int, float]]) -> None:
+        """Go on from this, but for names of which more values were taken in here."""
+        for name, (count, mean) in state.items():
+            if count > self.count(name):
+                self._means[name] = count, mean
+
     def __contains__(self, name: str) -> bool:
         return name in self._means
 
@@ -90,6 +100,18 @@
             weights += weight
         self.more = max(more, 0.0) / weights if weights else 0.0
 
+    def state(self) -> tuple[dict[str, tuple[int, float]], dict[str, tuple[int, float]]]:
+        """The means with and without it."""
+        return self._with.state(), self._without.state()
+
+    def restore(
+        self, with_it: Mapping[str, tuple[int, float]], without: Mapping[str, tuple[int, float]], more: float
+    ) -> None:
+        """Go on from this."""
+        self._with.restore(with_it)
+        self._without.restore(without)
+        self.more = max(self.more, more)
+
 
 @dataclass(slots=True)
 class Lately:
--- a/oxbowyard/decision/choice.py
+++ b/oxbowyard/decision/choice.py
@@ -41,6 +41,7 @@
     jobs: float = 0.0  # mean jobs on a worker, as reports tell; 0: no reports
     size: float = 0.0  # where weights fall with the load: the largest one told, alike for the kind
     seen: int = 0
+    began: float = math.inf  # when a job was first seen to start here
     ready: int = 0
     sick: int = 0
 
@@ -170,7 +171,7 @@
 
 QUEUED_SHARE = 0.1  # a job that waited for more than this share of a job's time was queued
 SLOT_STEP = 0.1  # how fast one start moves the learned slots
-HOLD_SAMPLES, HOLD_LEARNED = 200, 5  # jobs that a mean is taken over; that make it sure enough
+HOLD_SAMPLES = 200
 CONNECT_SAMPLES, CONNECT_FADES_MS = 8, 10000.0  # new connections are few: a price soon learned, and kept
 WAIT_SAMPLES = 6  # starts that the fleet's mean wait is taken over
 RATIO_SAMPLES = 50  # how many jobs a kind's pace is averaged over
@@ -485,7 +486,7 @@
         if self.settings.in_turn:
             self._swallowed(attempt, now)
         attempt.found = w.kept.meet(job.key.salt, w.pool.most)  # it is taken to keep as many as it runs
-        w.pool.most = max(w.pool.most, len(w.running))
+        w.pool.most, w.pool.began = max(w.pool.most, len(w.running)), min(w.pool.began, now)
         w.base = min(w.base, now - attempt.sent)
         w.delay, w.delay_at = now - attempt.sent - w.base, now
         if attempt.fresh:
@@ -603,10 +604,9 @@
         return len(w.sends) < w.allowed
 
     def _hold(self, pool: _Pool, now: float) -> float:
-        """A job's time in a slot. Where few have ended, what still runs counts: short ones end first."""
-        unknown = self.settings.tip_after
-        if pool.seen >= HOLD_LEARNED:
-            return pool.hold
+        """A job's time in a slot. At first what still runs counts: the short ones end first."""
+        if now - pool.began >= (unknown := self.settings.tip_after):
+            return pool.hold or unknown
         running = [now - a.started for w in self.ready if w.pool is pool for a in w.running]
         return max(pool.hold, min(books.censored_mean(pool.hold, pool.seen, running, unknown), unknown))
 
--- a/oxbowyard/decision/facade.py
+++ b/oxbowyard/decision/facade.py
@@ -13,12 +13,14 @@
 from dataclasses import dataclass, field, replace
 
 from . import interface as api
+from . import snapshot
 from .choice import Dispatcher
 from .interface import Readiness, Result, Scope, Trouble, WorkerInfo
+from .snapshot import Snapshot
 
 __all__ = [
     "Ask", "Began", "Cancel", "Capacity", "Decision", "Ended", "Facade", "Fail", "Fetch", "Hold", "Left",
-    "Outcome", "Readiness", "Refuse", "Result", "Scope", "Trouble", "Turn", "WorkerInfo",
+    "Outcome", "Readiness", "Refuse", "Result", "Scope", "Snapshot", "Trouble", "Turn", "WorkerInfo",
 ]  # fmt: skip
 
 log = logging.getLogger("oxbowyard.decision")
@@ -163,9 +165,20 @@
         dispatcher = self._dispatcher
         dispatcher.settings = replace(dispatcher.settings, siblings=self._siblings)
 
+    def snapshot(self) -> Snapshot:
+        """What was learned, for a process that replaces this one."""
+        return snapshot.take(self._dispatcher, self._now())
+
+    def adopt(self, learned: Snapshot) -> None:
+        """Go on from what the process that this one replaces has learned."""
+        snapshot.adopt(self._dispatcher, learned, self._now())
+
+    def _now(self) -> float:
+        return max(self._last, self._clock())
+
     def troubles(self) -> list[Trouble]:
         """What this dispatcher's own traffic shows of workers in trouble. It walks the ready ones."""
-        dispatcher, now = self._dispatcher, max(self._last, self._clock())
+        dispatcher, now = self._dispatcher, self._now()
         ramp, found = dispatcher.settings.ramp, []
         for w in dispatcher.ready:
             barred = w.barred_until - now if w.strikes >= 1 else 0.0
@@ -183,7 +196,7 @@
     def capacity(self, job_class: str) -> Capacity:
         """What the ready backends for a class can do at once. It walks them: for callers that pace, not for
         each req."""
-        dispatcher, now = self._dispatcher, max(self._last, self._clock())
+        dispatcher, now = self._dispatcher, self._now()
         kind = dispatcher.classes.get(job_class, dispatcher.unknown).kind
         fit = [w for w in dispatcher.ready if kind in (None, w.kind)]
         fit = [w for w in fit if w.classes is None or job_class in w.classes]
--- a/oxbowyard/handover/steps.py
+++ b/oxbowyard/handover/steps.py
@@ -42,6 +42,11 @@
         self.waiting = True
         self.files.write(self.files.successor)
 
+    @property
+    def successor(self) -> int | None:
+        """The process that waits to take over from this one, if there is one."""
+        return self.files.other(self.files.successor)
+
     @property
     def may_say_yes(self) -> bool:
         """Whether the operators may be told that this process is ready."""
@@ -60,11 +65,11 @@
             return Step.NOTHING
         files.touch(files.serving)
         if not self.handing:
-            if files.other(files.successor) is not None:
+            if self.successor is not None:
                 self.handing = True
                 return Step.HAND_OVER
             return Step.NOTHING
-        successor = files.other(files.successor)
+        successor = self.successor
         if successor is None and files.named(files.serving, fresh=False) == files.pid:
             self.handing = self.handed = False  # it went before it took over: nobody else has the clients
             return Step.RESUME
--- /dev/null
+++ b/tests/test_learned.py
@@ -0,0 +1,157 @@
+"""What a replaced process has learned goes to the one named, whole and young, or not at all."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import orjson
+import pytest
+
+from oxbowyard import Dispatcher, Settings
+from oxbowyard.decision import interface as fw
+from oxbowyard.decision import snapshot
+from oxbowyard.handover.learned import CLOCK_TOLERANCE_MS, MAX_AGE_MS, LearnedFile, Unusable, decode, encode
+
+SHORT = fw.JobClass("short", aim=1000, deadline=10000, repeat=fw.Repeat.FREE)
+ONCE = fw.JobClass("once", aim=4000, deadline=25000)
+NAMES = [f"w{i}" for i in range(5)]
+SETTINGS = Settings(
+    (SHORT, ONCE), siblings=3, max_attempts=3, tells_start=True, may_cancel=True,
+    ramp=22000.0, cold_from=0.15, tip_multiple=2.5, tip_after=3000.0,
+)  # fmt: skip
+START, SERVED = 1e12, 60
+PID = 4711
+
+
+def dispatcher(seed: int, now: float = START) -> Dispatcher:
+    made = Dispatcher(SETTINGS, seed)
+    cold = fw.WorkerInfo("w4", kind="std", online_since=START - 5000.0)
+    infos = (*(fw.WorkerInfo(name, kind="std") for name in NAMES[:4]), cold)
+    made.handle(now, fw.WorkerList(fw.Scope.FULL, infos))
+    return made
+
+
+def served(made: Dispatcher, count: int = SERVED) -> float:
+    """So many jobs, one of w1 failed and one of w2 turned away at the last."""
+    now = START
+    for i in range(count):
+        now += 100.0
+        cls = ONCE if i % 3 == 0 else SHORT
+        actions = made.handle(now, fw.Request(f"r{i}", cls.name, cls.deadline, f"k{i % 7}"))
+        for action in actions:
+            if isinstance(action, fw.Send):
+                made.handle(now + 5, fw.Started(action.id, 0, action.worker))
+                report = {"free_slots": 3.0, "waiting": 0.0}
+                result = fw.Result.ERROR if action.worker == "w1" else fw.Result.OK
+                made.handle(now + 90, fw.Outcome(action.id, 0, action.worker, result, 90.0, True, report))
+        now += 90.0
+    return now
+
+
+def handed(old: Dispatcher, now: float, pid: int = PID) -> snapshot.Snapshot:
+    return decode(encode(snapshot.take(old, now), PID), pid, now + 200.0)
+
+
+def test_the_successor_goes_on_from_all_of_it() -> None:
+    old = dispatcher(1)
+    now = served(old)
+    new = dispatcher(2, now)
+    assert new.pools["std"].hold == 0.0
+    snapshot.adopt(new, handed(old, now), now + 200.0)
+    for name in ("most", "slots", "hold", "wait", "seen", "jobs", "pace"):
+        assert getattr(new.pools["std"], name) == getattr(old.pools["std"], name), name
+    for name in NAMES:
+        mine, theirs = new.workers[name], old.workers[name]
+        assert (mine.strikes, mine.barred_until, mine.due, mine.done) == (
+            theirs.strikes, theirs.barred_until, theirs.due, theirs.done)  # fmt: skip
+        assert mine.faults == theirs.faults and list(mine.sends) == list(theirs.sends)
+        assert mine.count == 0 and not mine.running, "what is owed stays with the old one"
+    assert old.workers["w1"].faults, "it was seen to fail"
+    assert new.holds.state() == old.holds.state()
+    assert {place: key.size for place, key in new.keys.items()} == {
+        place: key.size for place, key in old.keys.items()
+    }
+    warm = [name for name in NAMES if name != "w4"]
+    later = now + 300.0
+    for cls in (SHORT, ONCE):
+        ranks = [[d._rank(d.workers[name], cls, later) for name in warm] for d in (old, new)]
+        assert ranks[1] == pytest.approx(ranks[0], rel=0.5), "it judges the workers alike"
+
+
+def test_of_a_worker_that_started_since_nothing_is_believed() -> None:
+    old = dispatcher(1)
+    now = served(old)
+    learned = handed(old, now)
+    new = dispatcher(2, now)
+    restarted = fw.WorkerInfo("w1", kind="std", online_since=now)
+    new.handle(now, fw.WorkerList(fw.Scope.CHANGES, (restarted,)))
+    snapshot.adopt(new, learned, now + 200.0)
+    assert new.workers["w1"].since == now and not new.workers["w1"].faults
+    unknown = Dispatcher(SETTINGS, 3)
+    snapshot.adopt(unknown, learned, now)  # its list has not come: nothing to believe it of
+    assert not unknown.workers
+
+
+def test_a_budget_of_a_cold_worker_counts_what_the_old_process_sent() -> None:
+    old = dispatcher(1)
+    now = served(old)
+    old.workers["w4"].sends.append(now - 10.0)
+    new = dispatcher(2, now)
+    snapshot.adopt(new, handed(old, now), now + 200.0)
+    worker = new.workers["w4"]
+    new._cold_room(worker, now + 200.0)
+    assert now - 10.0 in worker.sends
+    worker.allowed, worker.window = 1, int((now + 200.0 + new.phase) / SETTINGS.tip_after)
+    assert not new._cold_room(worker, now + 200.0), "the one that it bears now was sent by the old process"
+
+
+def test_only_the_process_named_believes_it_and_only_while_it_is_young() -> None:
+    old = dispatcher(1)
+    now = served(old)
+    text = encode(snapshot.take(old, now), PID)
+    assert decode(text, PID, now).at == now
+    for pid, at in ((PID + 1, now), (PID, now + MAX_AGE_MS + 1.0), (PID, now - CLOCK_TOLERANCE_MS - 1.0)):
+        with pytest.raises(Unusable):
+            decode(text, pid, at)
+
+
+def test_whatever_is_damaged_is_not_believed() -> None:
+    old = dispatcher(1)
+    now = served(old, 10)
+    text = encode(snapshot.take(old, now), PID)
+    for cut in range(0, len(text), 7):
+        with pytest.raises(Unusable):
+            decode(text[:cut], PID, now)
+        broken = bytearray(text)
+        broken[cut] ^= 1
+        with pytest.raises(Unusable):
+            decode(bytes(broken), PID, now)
+
+
+@pytest.mark.parametrize("change", [
+    {"version": 2}, {"at": "now"}, {"pools": []}, {"workers": {"w0": {}}}, {"keys": [7]}, {"heat": True},
+    {"more": 1}, {"holds": {"short": [1]}}, {"holds": {"short": [1.5, 2.0]}},
+])  # fmt: skip
+def test_a_whole_file_of_another_form_is_not_believed(change: dict[str, object]) -> None:
+    old = dispatcher(1)
+    now = served(old, 10)
+    taken = orjson.loads(orjson.dumps(snapshot.take(old, now))) | change
+    text = encode(taken, PID)
+    if "version" in change:
+        text = text.replace(b'"version":1', b'"version":2', 1)
+    with pytest.raises(Unusable):
+        decode(text, PID, now)
+
+
+def test_a_disk_that_fails_changes_nothing_else(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    old = dispatcher(1)
+    now = served(old, 10)
+    nowhere = LearnedFile(tmp_path / "absent", "n1", 1, lambda: now)
+    nowhere.write(snapshot.take(old, now), PID)
+    assert nowhere.read() is None and "not handed over" in caplog.text
+    LearnedFile(tmp_path, "n1", 1, lambda: now).write(snapshot.take(old, now), PID)
+    successor = LearnedFile(tmp_path, "n1", PID, lambda: now)
+    assert successor.read() is not None
+    (tmp_path / "oxbowyard-n1-learned").write_bytes(b"x" * (2 << 20))
+    assert successor.read() is None and successor.read() is None
+    assert caplog.text.count("too long") == 1, "said once"
