A fault while estimates are handed on does not hold up a replacement

Read again: an exception there would have ended the task that hands over or takes over, and the new process would never have said yes. It is logged with its trace and the replacement goes on. test_learned with a fault forced on either side, test_replacement, test_structure, test_ends_of_the_program, test_endings: all passed.

--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -194,8 +194,7 @@
             step = self._handover.look(loop.time(), self._parts.scheduler.open_count)
             if step is Step.HAND_OVER and self.state in (State.SERVING, State.RELOADING) and self._acceptor:
                 self._enter(State.HANDING)
-                if (successor := self._handover.successor) is not None:
-                    self._learned.write(self._parts.scheduler.snapshot(), successor)
+                self._hand_learned()
                 await self._acceptor.shut()
                 self._sessions.wind_down()
                 self._sessions.close_idle()
@@ -209,10 +208,23 @@
         learned = self._learned.read()
         if learned is None:
             return False
-        self._parts.scheduler.adopt(learned)
-        log.info("goes on from what the old process has learned of %d workers", len(learned.workers))
+        try:
+            self._parts.scheduler.adopt(learned)
+            log.info("goes on from what the old process has learned of %d workers", len(learned.workers))
+        except Exception:  # guards the take-over: estimates are not worth it
+            log.exception("fault while taking what the old process has learned")
         return True
 
+    def _hand_learned(self) -> None:
+        """Write what was learned for the process that waits to take over."""
+        successor = self._handover.successor
+        if successor is None:
+            return
+        try:
+            self._learned.write(self._parts.scheduler.snapshot(), successor)
+        except Exception:  # guards the hand-over
+            log.exception("fault while handing over what was learned")
+
     async def _resume(self) -> None:
         try:
             acceptor = self._client_acceptor()
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 
 import orjson
 import pytest
+from stage import HeldLoop, Stage
 
 from oxbowyard import Dispatcher, Settings
+from oxbowyard.daemon.program import Program, Read
 from oxbowyard.decision import interface as fw
 from oxbowyard.decision import snapshot
 from oxbowyard.handover.learned import CLOCK_TOLERANCE_MS, MAX_AGE_MS, LearnedFile, Unusable, decode, encode
@@ -155,3 +158,30 @@
     (tmp_path / "oxbowyard-n1-learned").write_bytes(b"x" * (2 << 20))
     assert successor.read() is None and successor.read() is None
     assert caplog.text.count("too long") == 1, "said once"
+
+
+def test_a_fault_of_ours_in_either_process_does_not_hold_up_the_replacement(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """It would end the task that hands over, or takes over: the new process would never say yes."""
+
+    def broken(*_: object) -> snapshot.Snapshot:
+        raise KeyError("a fault of ours")
+
+    async def scene() -> None:
+        config = Stage(tmp_path).config
+        program = Program(lambda: Read(config))
+        scheduler = program._parts.scheduler
+        now = program._parts.clock()
+        learned = snapshot.take(dispatcher(1), now)
+        program._learned.read = lambda: learned  # type: ignore[method-assign]
+        scheduler.adopt = broken  # type: ignore[method-assign,assignment]
+        assert program._adopt(), "it is not tried again and again"
+        scheduler.snapshot = broken  # type: ignore[method-assign]
+        program._handover.files.other = lambda path: PID  # type: ignore[method-assign]
+        program._hand_learned()
+        await program._close()
+
+    with asyncio.Runner(loop_factory=HeldLoop) as runner:
+        runner.run(scene())
+    assert caplog.text.count("a fault of ours") >= 2
