--- a/oxbowyard/discovery/watch.py
+++ b/oxbowyard/discovery/watch.py
@@ -23,8 +23,8 @@
 class _CallFailed(Exception):
     """A call brought no list; the schedule of the next one depends on why."""
 
-    def __init__(self, failure: CallFailure, cause: object) -> None:
-        super().__init__(f"{failure.value}: {cause!r}" if isinstance(cause, Exception) else str(cause))
+    def __init__(self, failure: CallFailure, cause: Exception | str) -> None:
+        super().__init__(f"{failure.value}: {cause if isinstance(cause, str) else repr(cause)}")
         self.failure = failure
 
 
