A class's ejections outlive a handover and a reload: kept by name, verdict made anew

What callers saw: after a hot restart, requests of a class that a worker had failed got "internal fault" from the new process for up to 30 s. After a SIGHUP that changed a class, its requests went back to the worker that fails it.

Why it works: one function makes the verdict from the ejections, for a failure and for an adoption; a set of names can't raise. Two checks of test_workers_in_part looked for a JobClass among the keys: they look for its name now, or could not fail.

--- a/oxbowyard/decision/observation.py
+++ b/oxbowyard/decision/observation.py
@@ -94,7 +94,7 @@
 
 def _observe_success(state: DispatcherState, attempt: Attempt, now: float) -> None:
     worker, pool = attempt.worker, attempt.worker.pool
-    worker.class_ejections.pop(attempt.job.job_class, None)
+    worker.class_ejections.pop(attempt.job.job_class.name, None)
     worker.failure_score.value *= SUCCESS_FAILURE_FACTOR
     outlier_detection.record_success(worker, now)
     if attempt.started_at_ms < 0:
--- a/oxbowyard/decision/outlier_detection.py
+++ b/oxbowyard/decision/outlier_detection.py
@@ -56,10 +56,10 @@
     """Whether the worker failed this class, unless most workers do."""
     if not worker.class_ejections:
         return False
-    ejection = worker.class_ejections.get(job_class)
+    ejection = worker.class_ejections.get(job_class.name)
     if ejection is None or now >= ejection.until_ms:
         return False
-    return not state.classes_failing_everywhere[job_class]
+    return job_class.name not in state.classes_failing_everywhere
 
 
 def is_stalled(worker: Worker, now: float) -> bool:
@@ -88,19 +88,27 @@
     state: DispatcherState, worker: Worker, job_class: JobClass, failures: float, now: float
 ) -> None:
     """A worker failed a job of a class: eject it for that class, longer than own sends to it lie apart."""
-    earlier = worker.class_ejections.get(job_class)
+    earlier = worker.class_ejections.get(job_class.name)
     failures += earlier.failure_count if earlier else 0.0
     ejection_ms = 0.0
     if failures >= 1:
         shortest = max(MIN_EJECTION_MS, _mean_send_interval_ms(state, state.recent_requests))
         ejection_ms = min(shortest * 2 ** (failures - 1), MAX_CLASS_EJECTION_MS)
-    worker.class_ejections[job_class] = ClassEjection(failures, now + ejection_ms)
+    worker.class_ejections[job_class.name] = ClassEjection(failures, now + ejection_ms)
+    refresh_failing_everywhere(state, job_class.name, now)
+
+
+def refresh_failing_everywhere(state: DispatcherState, class_name: str, now: float) -> None:
+    """Find out whether so many workers are ejected for a class that its jobs must be at fault."""
     ejected = sum(
-        now < other.class_ejections[job_class].until_ms
+        now < other.class_ejections[class_name].until_ms
         for other in state.ready_workers
-        if job_class in other.class_ejections
+        if class_name in other.class_ejections
     )
-    state.classes_failing_everywhere[job_class] = ejected > MAX_FAILING_SHARE * len(state.ready_workers)
+    if ejected > MAX_FAILING_SHARE * len(state.ready_workers):
+        state.classes_failing_everywhere.add(class_name)
+    else:
+        state.classes_failing_everywhere.discard(class_name)
 
 
 def record_connection_failure(state: DispatcherState, worker: Worker, failures: float, now: float) -> None:
--- a/oxbowyard/decision/snapshot.py
+++ b/oxbowyard/decision/snapshot.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from .estimators import DecayingScore
-from .outlier_detection import set_failure_count
+from .outlier_detection import refresh_failing_everywhere, set_failure_count
 from .state import AffinityKey, ClassEjection, DispatcherState, Worker, WorkerPool
 
 VERSION = 1
@@ -198,6 +198,8 @@
         worker = state.workers.get(name)
         if worker is not None and worker.started_at_ms <= known.started_at_ms:
             _apply_worker(state, worker, known)
+    for class_name in state.classes:
+        refresh_failing_everywhere(state, class_name, now)
     for key in snapshot.keys:
         _apply_key(state, key)
     state.service_times_ms.restore(snapshot.service_times_ms)
@@ -230,9 +232,7 @@
         failure_score=worker.failure_score.value,
         failure_score_at_ms=worker.failure_score.updated_at_ms,
         failure_count=worker.failure_count,
-        class_ejections={
-            cls.name: (ejection.failure_count, ejection.until_ms) for cls, ejection in ejections
-        },
+        class_ejections={name: (ejection.failure_count, ejection.until_ms) for name, ejection in ejections},
         cold_sends_at_ms=list(worker.cold_sends_at_ms),
         cached_keys=list(worker.cached_keys.items),
     )
@@ -246,7 +246,7 @@
     worker.failure_score = DecayingScore(known.failure_score, known.failure_score_at_ms)
     set_failure_count(worker, known.failure_count)
     worker.class_ejections = {
-        state.classes[name]: ClassEjection(failures, until_ms)
+        name: ClassEjection(failures, until_ms)
         for name, (failures, until_ms) in known.class_ejections.items()
         if name in state.classes
     }
--- a/oxbowyard/decision/state.py
+++ b/oxbowyard/decision/state.py
@@ -92,7 +92,7 @@
     unreachable_since_ms: float = 0.0
     last_progress_at_ms: float = 0.0  # a job began or ended there
     next_probation_at_ms: float = 0.0  # while it is stalled: when a job may be tried there
-    class_ejections: dict[JobClass, ClassEjection] = field(default_factory=dict)
+    class_ejections: dict[str, ClassEjection] = field(default_factory=dict)  # by class
 
     # Slow start
     cold_sends_at_ms: deque[float] = field(default_factory=deque)
@@ -222,7 +222,7 @@
         self.known_workers: list[Worker] = []  # in the order in which they were first listed; gone ones too
         self.recent_idle_workers: deque[Worker] = deque(maxlen=MAX_RECENT_IDLE_WORKERS)
         self.zone_count = 1  # zones with ready workers
-        self.classes_failing_everywhere: dict[JobClass, bool] = {}
+        self.classes_failing_everywhere: set[str] = set()  # names of classes
 
         # Requests
         self.jobs: dict[str, Job] = {}
--- a/tests/test_workers_in_part.py
+++ b/tests/test_workers_in_part.py
@@ -78,7 +78,7 @@
     last = next(reversed(home.unstarted))
     assert last.load_before >= home.pool.slots
     d.handle(400, AttemptEnded(last.job.id, 0, home.name, Result.FULL, 100))
-    assert home.queue_wait_ms > 0 and ONCE not in home.class_ejections
+    assert home.queue_wait_ms > 0 and ONCE.name not in home.class_ejections
 
 
 def test_connects_refused_for_a_moment_are_no_restart() -> None:
@@ -128,7 +128,7 @@
     home = served(d, 1, "warm")
     ask(d, 1000, "waits", "once")
     served(d, 1050, "passes")
-    assert len(d.state.workers[home].unstarted) == 1 and ONCE not in d.state.workers[home].class_ejections
+    assert len(d.state.workers[home].unstarted) == 1 and ONCE.name not in d.state.workers[home].class_ejections
 
 
 def test_the_settings_say_whether_jobs_begin_in_order() -> None:
