The store's thread never ends while health says serving: any error is retried or said

What callers saw: after one error of SQLite while old results were counted, no durable submission was acknowledged or refused any more and every read hung; health stayed "serving". Cause: Database.prune counted outside store_errors(), and nothing guarded the thread's loop. Why it works: the count is inside the guarded transaction, so it is logged and tried again; whatever else ends the loop sets health to broken in one line with its trace, and what waits gets its error. A failure that no retry helps breaks the store at once, also where it is met while deleting.

--- a/oxbowyard/store/database.py
+++ b/oxbowyard/store/database.py
@@ -139,11 +139,17 @@
 
     def apply(self, changes: Sequence[Change]) -> None:
         """Write all changes, or none: they are on disk when this returns. Raises StoreError."""
+        with self._fenced_transaction():
+            for change in changes:
+                self._write(change)
+
+    @contextmanager
+    def _fenced_transaction(self) -> Iterator[None]:
+        """A transaction that fails if a successor has opened the store. Raises StoreError."""
         with store_errors(), _transaction(self._db):
             if scalar(self._db, schema.SELECT_EPOCH) != self.epoch:
                 raise StoreError(StoreFailure.FENCED, "a successor has opened the store")
-            for change in changes:
-                self._write(change)
+            yield
 
     def _write(self, change: Change) -> None:
         match change:
@@ -173,9 +179,12 @@
         self._db.execute(schema.END_JOB, values)
 
     def prune(self, ended_before: float, max_results: int, max_deletions: int) -> int:
-        """Delete results that are too old, or too many, up to a number; return how many were deleted."""
-        excess = scalar(self._db, schema.COUNT_ENDED) - max_results
+        """Delete results that are too old, or too many, up to a number; return how many were deleted.
+
+        Raises StoreError.
+        """
         with store_errors(), _transaction(self._db):
+            excess = scalar(self._db, schema.COUNT_ENDED) - max_results
             deleted = self._db.execute(schema.DELETE_OLD_RESULTS, (ended_before, max_deletions)).rowcount
             remaining = min(excess - deleted, max_deletions - deleted)
             if remaining > 0:
--- a/oxbowyard/store/record.py
+++ b/oxbowyard/store/record.py
@@ -100,6 +100,12 @@
     FENCED = "fenced"  # a successor has opened it: nothing may be granted or ended here any more
 
 
+# No retry helps: the store has to be replaced, or belongs to another program.
+FINAL_FAILURES = frozenset(
+    {StoreFailure.FENCED, StoreFailure.DAMAGED, StoreFailure.NEWER, StoreFailure.FOREIGN}
+)
+
+
 class StoreError(Exception):
     """A store's failure, in one line; nothing of what was asked is stored."""
 
--- a/oxbowyard/store/writer.py
+++ b/oxbowyard/store/writer.py
@@ -7,13 +7,13 @@
 import threading
 from collections import deque
 from collections.abc import Callable
-from concurrent.futures import Future
 from dataclasses import dataclass
 from enum import Enum
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from .database import Database
-from .record import Change, StoreError, StoreFailure
+from .pending_read import PendingRead
+from .record import FINAL_FAILURES, Change, StoreError, StoreFailure
 
 log = logging.getLogger("oxbowyard.store")
 
@@ -23,6 +23,7 @@
 PRUNE_INTERVAL_S = 1.0
 
 T = TypeVar("T")
+Item = Change | Callable[[], None] | PendingRead[Any]
 
 
 class Health(Enum):
@@ -61,7 +62,8 @@
         self._prune_limits = prune_limits
         self._loop = asyncio.get_running_loop()
         self._wakeup = threading.Condition()
-        self._queue: deque[Change | Callable[[], None] | _Read] = deque()
+        self._queue: deque[Item] = deque()
+        self._batch: list[Item] = []  # taken from the queue, and not carried out
         self._closing = False
         self._failures = 0
         self.health = Health.SERVING
@@ -85,12 +87,12 @@
     async def read(self, query: Callable[[Database], T]) -> T:
         """Query the database, after all that was put so far. Raises StoreError."""
         if self.health in LOST:
-            raise StoreError(StoreFailure.FAILED, f"the store is {self.health.value}")
-        answer: Future[T] = Future()
-        self._push(_Read(query, answer))  # type: ignore[arg-type]
-        return await asyncio.wrap_future(answer)
+            raise self._lost_error()
+        pending = PendingRead(query)
+        self._push(pending)
+        return await pending.result()
 
-    def _push(self, item: Change | Callable[[], None] | _Read) -> None:
+    def _push(self, item: Item) -> None:
         with self._wakeup:
             self._queue.append(item)
             self._wakeup.notify()
@@ -105,63 +107,80 @@
     # ---- On the thread ----
 
     def _run(self) -> None:
-        while True:
-            with self._wakeup:
-                while not self._queue and not self._closing:
-                    if not self._wakeup.wait(PRUNE_INTERVAL_S):
-                        break
-                batch = [self._queue.popleft() for _ in range(min(len(self._queue), MAX_BATCH_CHANGES))]
-                done = self._closing and not batch
-            if done or not self._carry_out(batch):
-                break
-        self._end()
+        try:
+            while self._take_batch() and self._carry_out_batch():
+                pass
+        except (
+            BaseException
+        ) as error:  # without its thread a store that says "serving" would hang its callers
+            log.exception("internal error in the store's thread")
+            self._set_health(Health.BROKEN, StoreError(StoreFailure.FAILED, repr(error)))
+        finally:
+            self._end()
+
+    def _take_batch(self) -> bool:
+        """Wait for items, for a while; False if there will be none."""
+        with self._wakeup:
+            self._wakeup.wait_for(lambda: self._queue or self._closing, PRUNE_INTERVAL_S)
+            self._batch = [self._queue.popleft() for _ in range(min(len(self._queue), MAX_BATCH_CHANGES))]
+            return bool(self._batch) or not self._closing
 
-    def _carry_out(self, batch: list[Change | Callable[[], None] | _Read]) -> bool:
-        """Commit the changes of a batch in one transaction, then notify whoever waits for them.
+    def _carry_out_batch(self) -> bool:
+        """Commit the changes of the batch in one transaction, then notify whoever waits for them.
 
         Returns whether the store can go on.
         """
-        changes: list[Change] = [item for item in batch if not callable(item) and not isinstance(item, _Read)]
-        while changes:
+        was_idle = not self._batch
+        changes: list[Change] = [
+            item for item in self._batch if not callable(item) and not isinstance(item, PendingRead)
+        ]
+        if changes and not self._commit(changes):
+            return False
+        for item in self._batch:
+            if isinstance(item, PendingRead):
+                item.carry_out(self._database)
+        callbacks = [item for item in self._batch if callable(item)]
+        self._batch = []
+        if callbacks:
+            self._call_on_loop(_call_all, callbacks)
+        return not was_idle or self._prune()
+
+    def _commit(self, changes: list[Change]) -> bool:
+        """Commit changes, however often a disk fails that may heal; False if it will not."""
+        while True:
             try:
                 self._database.apply(changes)
                 break
             except StoreError as error:
                 if not self._may_retry(error):
                     return False
-        if changes:
-            self.commits += 1
-            self.committed_changes += len(changes)
-            self._record_recovery()
-        for item in batch:
-            if isinstance(item, _Read):
-                item.carry_out(self._database)
-        callbacks = [item for item in batch if callable(item)]
-        if callbacks:
-            self._loop.call_soon_threadsafe(_call_all, callbacks)
-        if not batch:
-            self._prune()
+        self.commits += 1
+        self.committed_changes += len(changes)
+        self._record_recovery()
         return True
 
-    def _prune(self) -> None:
+    def _prune(self) -> bool:
+        """Delete old results; a failure is tried again. Returns whether the store can go on."""
         if self._prune_limits is None:
-            return
+            return True
         limits = self._prune_limits()
         try:
             self._database.prune(limits.ended_before, limits.max_results, limits.max_deletions)
         except StoreError as error:
             log.warning("old results were not deleted: %s", error)
+            return not self._is_final(error)
+        return True
+
+    def _is_final(self, error: StoreError) -> bool:
+        """Whether the store is lost with this error; its health says so then."""
+        if error.failure not in FINAL_FAILURES:
+            return False
+        self._set_health(Health.FENCED if error.failure is StoreFailure.FENCED else Health.BROKEN, error)
+        return True
 
     def _may_retry(self, error: StoreError) -> bool:
         """Whether to retry the changes of a failed commit; waits for the retry interval if so."""
-        if error.failure in (
-            StoreFailure.FENCED,
-            StoreFailure.DAMAGED,
-            StoreFailure.NEWER,
-            StoreFailure.FOREIGN,
-        ):
-            health = Health.FENCED if error.failure is StoreFailure.FENCED else Health.BROKEN
-            self._set_health(health, error)
+        if self._is_final(error):
             return False
         self._failures += error.failure is not StoreFailure.FULL
         if self._failures > MAX_CONSECUTIVE_FAILURES or self._closing:
@@ -190,39 +209,29 @@
             log.info("store health=%s", health.value)
         else:
             log.error("store health=%s: %s", health.value, error)
-        self._loop.call_soon_threadsafe(self._on_health, health)
+        self._call_on_loop(self._on_health, health)
+
+    def _call_on_loop(self, callback: Callable[..., None], *arguments: object) -> None:
+        self._loop.call_soon_threadsafe(callback, *arguments)
+
+    def _lost_error(self) -> StoreError:
+        return StoreError(StoreFailure.FAILED, f"the store is {self.health.value}")
 
     def _end(self) -> None:
-        if self.health not in LOST:
-            self.health = Health.CLOSED
         with self._wakeup:
             remaining = list(self._queue)
             self._queue.clear()
+        if self.health not in LOST:
+            self.health = Health.CLOSED
         for item in remaining:
-            if isinstance(item, _Read):
-                item.answer.set_exception(
-                    StoreError(StoreFailure.FAILED, f"the store is {self.health.value}")
-                )
+            if isinstance(item, PendingRead):
+                item.fail(self._lost_error())
         try:
             self._database.close()
         except Exception:
             log.exception("store could not be closed")
 
 
-class _Read:
-    """A query and the future of its answer."""
-
-    def __init__(self, query: Callable[[Database], object], answer: Future[object]) -> None:
-        self._query = query
-        self.answer = answer
-
-    def carry_out(self, database: Database) -> None:
-        try:
-            self.answer.set_result(self._query(database))
-        except BaseException as error:  # whatever it is belongs to the caller
-            self.answer.set_exception(error)
-
-
 def _call_all(callbacks: list[Callable[[], None]]) -> None:
     for callback in callbacks:
         try:
--- /dev/null
+++ b/tests/test_store_thread.py
@@ -0,0 +1,163 @@
+"""The store's thread: whatever fails, it goes on or says that it can't, and nobody waits for ever."""
+
+from __future__ import annotations
+
+import asyncio
+import sqlite3
+import threading
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from test_store import taken
+
+from oxbowyard.store.database import Database, connect
+from oxbowyard.store.record import Change, StoreError
+from oxbowyard.store.writer import Health, PruneLimits, Writer
+
+WAIT_S = 5.0  # nothing here takes that long, unless it hangs
+KEEP_ALL = PruneLimits(ended_before=0.0, max_results=1_000, max_deletions=100)
+KEEP_NONE = PruneLimits(ended_before=2e9, max_results=1_000, max_deletions=100)
+
+
+def sqlite_error(code: int) -> sqlite3.OperationalError:
+    error = sqlite3.OperationalError("injected")
+    error.sqlite_errorcode = code
+    return error
+
+
+class HookedConnection:
+    """A connection that shows each statement to a hook, which may raise."""
+
+    def __init__(self, path: Path, hook: Callable[[str], None]) -> None:
+        self._db = connect(path)
+        self._hook = hook
+
+    @classmethod
+    def over(cls, db: Any, hook: Hook) -> HookedConnection:
+        """The same around a connection that is open."""
+        hooked = cls.__new__(cls)
+        hooked._db = db
+        hooked._hook = lambda query: hook.check(query)
+        return hooked
+
+    def execute(self, query: str, values: Any = ()) -> Any:
+        self._hook(query)
+        return self._db.execute(query, values)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._db, name)
+
+
+class Hook:
+    """What the connections of one store ask before each statement; harmless until it is set."""
+
+    def __init__(self) -> None:
+        self.check: Callable[[str], None] = lambda query: None
+        self.opened = 0
+
+    def connect(self, path: Path) -> HookedConnection:
+        self.opened += 1
+        return HookedConnection(path, lambda query: self.check(query))
+
+
+def play(scene: Callable[[], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(3 * WAIT_S):
+            await scene()
+
+    asyncio.run(bounded())
+
+
+async def until(condition: Callable[[], Any]) -> None:
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
+async def committed(writer: Writer, change: Change) -> None:
+    """Wait until a change is on disk."""
+    told = asyncio.Event()
+    writer.put(change)
+    writer.when_durable(told.set)
+    async with asyncio.timeout(WAIT_S):
+        await told.wait()
+
+
+async def last_number(writer: Writer) -> int:
+    async with asyncio.timeout(WAIT_S):
+        return await writer.read(lambda database: database.last_number())
+
+
+async def hold(writer: Writer) -> threading.Event:
+    """The thread waits in a query until the event is set: what is queued meanwhile is its next batch."""
+    entered, release = threading.Event(), threading.Event()
+
+    def wait(database: Database) -> None:
+        entered.set()
+        release.wait(WAIT_S)
+
+    task = asyncio.create_task(writer.read(wait))
+    await until(entered.is_set)
+    task.add_done_callback(lambda done: done.cancelled() or done.exception())
+    return release
+
+
+@pytest.fixture(autouse=True)
+def short_intervals(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("oxbowyard.store.writer.PRUNE_INTERVAL_S", 0.02)
+    monkeypatch.setattr("oxbowyard.store.writer.RETRY_INTERVAL_S", 0.02)
+
+
+def test_an_error_while_old_results_are_counted_is_tried_again(tmp_path: Path) -> None:
+    # Guards against a store that says "serving" after one error of the disk has ended its thread.
+    hook = Hook()
+    failures: list[str] = []
+
+    def fail_once(query: str) -> None:
+        if "count(*)" in query and not failures:
+            failures.append(query)
+            raise sqlite_error(sqlite3.SQLITE_IOERR_READ)
+
+    async def scene() -> None:
+        writer = Writer(Database(tmp_path / "jobs.db", connect=hook.connect), prune_limits=lambda: KEEP_ALL)
+        await committed(writer, taken(1))
+        hook.check = fail_once
+        await until(lambda: failures)
+        await committed(writer, taken(2))
+        assert await last_number(writer) == 2 and writer.health is Health.SERVING
+        await writer.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("error", [ValueError("a fault of ours"), MemoryError(), SystemExit(1)])
+def test_an_error_of_any_type_breaks_the_store_aloud(
+    error: BaseException, tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    # Guards against a thread that ends while the store's health says "serving".
+    hook = Hook()
+
+    def fail(query: str) -> None:
+        if query.startswith("INSERT"):
+            raise error
+
+    async def scene() -> None:
+        states: list[Health] = []
+        writer = Writer(Database(tmp_path / "jobs.db", connect=hook.connect), states.append)
+        hook.check = fail
+        release = await hold(writer)
+        writer.put(taken(1))
+        in_batch = asyncio.create_task(last_number(writer))
+        await asyncio.sleep(0)
+        release.set()
+        with pytest.raises(StoreError, match="the store is broken"):
+            await in_batch
+        await until(lambda: Health.BROKEN in states)
+        with pytest.raises(StoreError, match="the store is broken"):
+            await last_number(writer)
+        await writer.close()
+
+    play(scene)
+    assert "store health=broken: " in caplog.text and repr(error) in caplog.text
