A client that gives up its query no longer ends the store's thread

What callers saw: a client that disconnected while its query waited for the store stopped the store for everybody. Cause: asyncio cancels the future of the answer, and setting it raised InvalidStateError in the thread. Evidence: a read cancelled while the thread is busy; the program as found hangs, with InvalidStateError in the thread. Why it works: the thread claims the future first, and skips a query that nobody waits for. Measured: 5 of 5 in test_store_thread pass.

--- a/oxbowyard/store/pending_read.py
+++ b/oxbowyard/store/pending_read.py
@@ -25,7 +25,9 @@
         return await asyncio.wrap_future(self._answer)
 
     def carry_out(self, database: Database) -> None:
-        """Run the query."""
+        """Run the query, unless nobody waits for it any more."""
+        if not self._answer.set_running_or_notify_cancel():
+            return
         try:
             result = self._query(database)
         except BaseException as error:  # whatever it is belongs to the caller
@@ -34,5 +36,6 @@
             self._answer.set_result(result)
 
     def fail(self, error: StoreError) -> None:
-        """Answer with an error."""
-        self._answer.set_exception(error)
+        """Answer with an error, unless it is answered or nobody waits for it any more."""
+        if not self._answer.done() and self._answer.set_running_or_notify_cancel():
+            self._answer.set_exception(error)
--- a/tests/test_store_thread.py
+++ b/tests/test_store_thread.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sqlite3
 import threading
 from collections.abc import Awaitable, Callable
@@ -161,3 +162,21 @@
 
     play(scene)
     assert "store health=broken: " in caplog.text and repr(error) in caplog.text
+
+
+def test_a_caller_that_gives_up_its_read_does_not_end_the_thread(tmp_path: Path) -> None:
+    # Guards against an answer set on a cancelled query: it raised in the thread, and the store was gone.
+    async def scene() -> None:
+        writer = Writer(Database(tmp_path / "jobs.db"))
+        release = await hold(writer)
+        given_up = asyncio.create_task(last_number(writer))
+        await asyncio.sleep(0)
+        given_up.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await given_up
+        release.set()
+        await committed(writer, taken(1))
+        assert await last_number(writer) == 1
+        await writer.close()
+
+    play(scene)
