Queries beside a commit that fails for good, and at the thread's end, are answered

What callers saw: as a store broke, clients whose query was in the batch in hand, or came as the thread ended, waited for ever. Cause: the thread left with the batch in hand; a query could be queued after the last look; a planned close told nobody. Evidence: three forced crossings, each of which hangs on the program as found. Why it works: the batch belongs to the writer until it is carried out and is answered with the queue; the queue is closed under its lock; closing is notified like any other loss.

--- a/oxbowyard/store/writer.py
+++ b/oxbowyard/store/writer.py
@@ -65,6 +65,7 @@
         self._queue: deque[Item] = deque()
         self._batch: list[Item] = []  # taken from the queue, and not carried out
         self._closing = False
+        self._ended = False  # the thread takes nothing more from the queue
         self._failures = 0
         self.health = Health.SERVING
         self.commits = 0
@@ -86,16 +87,19 @@
 
     async def read(self, query: Callable[[Database], T]) -> T:
         """Query the database, after all that was put so far. Raises StoreError."""
-        if self.health in LOST:
-            raise self._lost_error()
         pending = PendingRead(query)
-        self._push(pending)
+        if not self._push(pending):
+            pending.fail(self._lost_error())
         return await pending.result()
 
-    def _push(self, item: Item) -> None:
+    def _push(self, item: Item) -> bool:
+        """Queue an item; False if the thread has ended."""
         with self._wakeup:
+            if self._ended:
+                return False
             self._queue.append(item)
             self._wakeup.notify()
+            return True
 
     async def close(self) -> None:
         """Commit what is queued, then close the store."""
@@ -219,10 +223,12 @@
 
     def _end(self) -> None:
         with self._wakeup:
-            remaining = list(self._queue)
+            self._ended = True
+            remaining = [*self._batch, *self._queue]
             self._queue.clear()
         if self.health not in LOST:
             self.health = Health.CLOSED
+            self._call_on_loop(self._on_health, Health.CLOSED)
         for item in remaining:
             if isinstance(item, PendingRead):
                 item.fail(self._lost_error())
--- a/tests/test_store_thread.py
+++ b/tests/test_store_thread.py
@@ -164,6 +164,44 @@
     assert "store health=broken: " in caplog.text and repr(error) in caplog.text
 
 
+def test_a_read_beside_a_commit_that_fails_for_good_is_answered(tmp_path: Path) -> None:
+    # Guards against a query that is dropped with the batch in hand: its caller waited for ever.
+    hook = Hook()
+
+    def fail(query: str) -> None:
+        if query.startswith("INSERT"):
+            raise sqlite_error(sqlite3.SQLITE_CORRUPT)
+
+    async def scene() -> None:
+        writer = Writer(Database(tmp_path / "jobs.db", connect=hook.connect))
+        hook.check = fail
+        release = await hold(writer)
+        before = asyncio.create_task(last_number(writer))
+        await asyncio.sleep(0)
+        writer.put(taken(1))
+        after = asyncio.create_task(last_number(writer))
+        await asyncio.sleep(0)
+        release.set()
+        for read in (before, after):
+            with pytest.raises(StoreError, match="the store is broken"):
+                await read
+        await writer.close()
+
+    play(scene)
+
+
+def test_a_read_that_comes_as_the_thread_ends_is_answered(tmp_path: Path) -> None:
+    # Guards against a query queued between the look at the health and the thread's end.
+    async def scene() -> None:
+        writer = Writer(Database(tmp_path / "jobs.db"))
+        await writer.close()
+        writer.health = Health.SERVING  # as the caller still saw it
+        with pytest.raises(StoreError):
+            await last_number(writer)
+
+    play(scene)
+
+
 def test_a_caller_that_gives_up_its_read_does_not_end_the_thread(tmp_path: Path) -> None:
     # Guards against an answer set on a cancelled query: it raised in the thread, and the store was gone.
     async def scene() -> None:
@@ -180,3 +218,14 @@
         await writer.close()
 
     play(scene)
+
+
+def test_whoever_waits_as_the_store_closes_is_told(tmp_path: Path) -> None:
+    async def scene() -> None:
+        states: list[Health] = []
+        writer = Writer(Database(tmp_path / "jobs.db"), states.append)
+        await committed(writer, taken(1))
+        await writer.close()
+        await until(lambda: Health.CLOSED in states)
+
+    play(scene)
