A disk that fails for a moment is retried for its full time, however busy the store is

What callers saw: under load a disk error of some milliseconds broke the store for good. Cause: the pause between retries waited on the condition that announces new items, so that each item was a retry. Evidence: with a pause of 60 s the program as found uses up its retries within 0.2 s of queued changes. Why it works: the pause ends with its time or with the program.

--- a/oxbowyard/store/writer.py
+++ b/oxbowyard/store/writer.py
@@ -191,8 +191,8 @@
             self._set_health(Health.BROKEN, error)
             return False
         self._set_health(Health.STALLED, error)
-        with self._wakeup:
-            self._wakeup.wait(RETRY_INTERVAL_S)
+        with self._wakeup:  # what is queued meanwhile cuts nothing short
+            self._wakeup.wait_for(lambda: self._closing, RETRY_INTERVAL_S)
         if error.failure is not StoreFailure.FULL:
             try:
                 self._database.reopen()
--- a/tests/test_store_thread.py
+++ b/tests/test_store_thread.py
@@ -6,6 +6,7 @@
 import contextlib
 import sqlite3
 import threading
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -229,3 +230,32 @@
         await until(lambda: Health.CLOSED in states)
 
     play(scene)
+
+
+def test_what_is_queued_while_the_disk_fails_does_not_use_up_its_retries(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a busy store that is given up within milliseconds: each item cut the pause short.
+    monkeypatch.setattr("oxbowyard.store.writer.RETRY_INTERVAL_S", 60.0)
+    hook = Hook()
+    failed: list[float] = []
+
+    def fail(query: str) -> None:
+        if query.startswith("INSERT"):
+            failed.append(time.monotonic())
+            raise sqlite_error(sqlite3.SQLITE_IOERR_FSYNC)
+
+    async def scene() -> None:
+        states: list[Health] = []
+        writer = Writer(Database(tmp_path / "jobs.db", connect=hook.connect), states.append)
+        hook.check = fail
+        writer.put(taken(1))
+        await until(lambda: Health.STALLED in states)
+        for number in range(2, 40):
+            writer.put(taken(number))
+            await asyncio.sleep(0.005)
+        assert len(failed) == 1 and writer.health is Health.STALLED
+        await writer.close()  # at once, and without waiting for the disk
+        assert writer.health is Health.BROKEN
+
+    play(scene)
