Old results are deleted under load, and before a full store is tried again

What callers saw: a scheduler that writes at least once a second deleted no old result; its store grew to its limit, and then took nothing for ever. Cause: deleting hung on an empty batch, a second without any item; a stalled store never has one. Evidence: 5 s of steady load, and a store of 64 pages filled with ended jobs: nothing is deleted by the program as found. Why it works: deleting is due by time, and before each retry of a full store.

--- a/oxbowyard/store/writer.py
+++ b/oxbowyard/store/writer.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -67,6 +68,7 @@
         self._closing = False
         self._ended = False  # the thread takes nothing more from the queue
         self._failures = 0
+        self._next_prune_at = time.monotonic() + PRUNE_INTERVAL_S
         self.health = Health.SERVING
         self.commits = 0
         self.committed_changes = 0
@@ -123,9 +125,11 @@
             self._end()
 
     def _take_batch(self) -> bool:
-        """Wait for items, for a while; False if there will be none."""
+        """Wait for items, until old results are due at most; False if there will be none."""
         with self._wakeup:
-            self._wakeup.wait_for(lambda: self._queue or self._closing, PRUNE_INTERVAL_S)
+            self._wakeup.wait_for(
+                lambda: self._queue or self._closing, max(self._next_prune_at - time.monotonic(), 0.0)
+            )
             self._batch = [self._queue.popleft() for _ in range(min(len(self._queue), MAX_BATCH_CHANGES))]
             return bool(self._batch) or not self._closing
 
@@ -134,7 +138,6 @@
 
         Returns whether the store can go on.
         """
-        was_idle = not self._batch
         changes: list[Change] = [
             item for item in self._batch if not callable(item) and not isinstance(item, PendingRead)
         ]
@@ -147,7 +150,7 @@
         self._batch = []
         if callbacks:
             self._call_on_loop(_call_all, callbacks)
-        return not was_idle or self._prune()
+        return time.monotonic() < self._next_prune_at or self._prune()
 
     def _commit(self, changes: list[Change]) -> bool:
         """Commit changes, however often a disk fails that may heal; False if it will not."""
@@ -165,6 +168,7 @@
 
     def _prune(self) -> bool:
         """Delete old results; a failure is tried again. Returns whether the store can go on."""
+        self._next_prune_at = time.monotonic() + PRUNE_INTERVAL_S
         if self._prune_limits is None:
             return True
         limits = self._prune_limits()
@@ -193,11 +197,12 @@
         self._set_health(Health.STALLED, error)
         with self._wakeup:  # what is queued meanwhile cuts nothing short
             self._wakeup.wait_for(lambda: self._closing, RETRY_INTERVAL_S)
-        if error.failure is not StoreFailure.FULL:
-            try:
-                self._database.reopen()
-            except StoreError as reopen_error:
-                return self._may_retry(reopen_error)
+        if error.failure is StoreFailure.FULL:
+            return self._prune()  # results whose time is over may be all that fills it
+        try:
+            self._database.reopen()
+        except StoreError as reopen_error:
+            return self._may_retry(reopen_error)
         return True
 
     def _record_recovery(self) -> None:
--- a/tests/test_store_thread.py
+++ b/tests/test_store_thread.py
@@ -8,14 +8,15 @@
 import threading
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
-from test_store import taken
+from test_store import ended, taken
 
 from oxbowyard.store.database import Database, connect
-from oxbowyard.store.record import Change, StoreError
+from oxbowyard.store.record import Change, StoredState, StoreError
 from oxbowyard.store.writer import Health, PruneLimits, Writer
 
 WAIT_S = 5.0  # nothing here takes that long, unless it hangs
@@ -259,3 +260,42 @@
         assert writer.health is Health.BROKEN
 
     play(scene)
+
+
+def test_old_results_are_deleted_under_steady_load(tmp_path: Path) -> None:
+    # Guards against a store that deletes nothing while it is never idle, and grows until it is full.
+    async def scene() -> None:
+        writer = Writer(Database(tmp_path / "jobs.db"), prune_limits=lambda: KEEP_NONE)
+        stop = time.monotonic() + WAIT_S
+        number = 0
+        while time.monotonic() < stop:
+            number += 1
+            writer.put(taken(number))
+            await committed(writer, ended(number))
+            counts = await writer.read(lambda database: database.counts())
+            if counts.get(StoredState.ENDED, 0) < number:
+                break
+        else:
+            pytest.fail("nothing was deleted")
+        await writer.close()
+
+    play(scene)
+
+
+def test_a_full_store_makes_room_by_deleting_results_whose_time_is_over(tmp_path: Path) -> None:
+    # Guards against a store that is stalled for good, since it deletes only when it has nothing to write.
+    async def scene() -> None:
+        limits = [KEEP_ALL]
+        writer = Writer(Database(tmp_path / "jobs.db", max_bytes=64 * 4096), prune_limits=lambda: limits[0])
+        number = 0
+        while writer.health is Health.SERVING:
+            number += 1
+            writer.put(taken(number))
+            writer.put(replace(ended(number), result=b"x" * 2000))
+            await asyncio.sleep(0.001)
+        assert writer.health is Health.STALLED
+        limits[0] = KEEP_NONE
+        await until(lambda: writer.health is Health.SERVING)
+        await writer.close()
+
+    play(scene)
