A fenced store deletes nothing of its successor

Cause: deleting did not look at the store's epoch. Evidence: the result of a job is gone from the successor's store on the program as found. Why it works: one transaction for all writes in service checks the epoch, and says fenced.

--- a/oxbowyard/store/database.py
+++ b/oxbowyard/store/database.py
@@ -183,7 +183,7 @@
 
         Raises StoreError.
         """
-        with store_errors(), _transaction(self._db):
+        with self._fenced_transaction():
             excess = scalar(self._db, schema.COUNT_ENDED) - max_results
             deleted = self._db.execute(schema.DELETE_OLD_RESULTS, (ended_before, max_deletions)).rowcount
             remaining = min(excess - deleted, max_deletions - deleted)
--- a/tests/test_store_thread.py
+++ b/tests/test_store_thread.py
@@ -299,3 +299,22 @@
         await writer.close()
 
     play(scene)
+
+
+def test_a_fenced_store_deletes_nothing(tmp_path: Path) -> None:
+    # Guards against a program that was presumed dead and deletes results of its successor.
+    async def scene() -> None:
+        states: list[Health] = []
+        path = tmp_path / "jobs.db"
+        limits = [KEEP_ALL]
+        writer = Writer(Database(path), states.append, prune_limits=lambda: limits[0])
+        writer.put(taken(1))
+        await committed(writer, ended(1))
+        successor = Database(path, take_over=True)
+        limits[0] = KEEP_NONE
+        await until(lambda: Health.FENCED in states)
+        assert successor.find("j1") is not None
+        await writer.close()
+        successor.close()
+
+    play(scene)
