The store's thread reports to a closed loop without raising, and releases its lock

Cause: call_soon_threadsafe raises on a closed loop, and the report was unguarded. Evidence: a loop that closes with a failing commit under way: RuntimeError in the thread before, none now. Why it works: a report to a closed loop is dropped, since nobody is left; the thread goes on to its end.

--- a/oxbowyard/store/writer.py
+++ b/oxbowyard/store/writer.py
@@ -221,7 +221,12 @@
         self._call_on_loop(self._on_health, health)
 
     def _call_on_loop(self, callback: Callable[..., None], *arguments: object) -> None:
-        self._loop.call_soon_threadsafe(callback, *arguments)
+        try:
+            self._loop.call_soon_threadsafe(callback, *arguments)
+        except RuntimeError:
+            if not self._loop.is_closed():
+                raise
+            # Nobody is left to be told.
 
     def _lost_error(self) -> StoreError:
         return StoreError(StoreFailure.FAILED, f"the store is {self.health.value}")
--- a/tests/test_store_thread.py
+++ b/tests/test_store_thread.py
@@ -233,6 +233,33 @@
     play(scene)
 
 
+def test_a_thread_that_outlives_its_loop_still_closes_the_store(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a thread that raises as it reports to a closed loop, with the store's lock held.
+    raised: list[object] = []
+    monkeypatch.setattr(threading, "excepthook", raised.append)
+    path, hook, writers = tmp_path / "jobs.db", Hook(), []
+    release: list[threading.Event] = []
+
+    def fail(query: str) -> None:
+        if query.startswith("INSERT"):
+            raise sqlite_error(sqlite3.SQLITE_CORRUPT)
+
+    async def scene() -> None:
+        writer = Writer(Database(path, connect=hook.connect))
+        hook.check = fail
+        release.append(await hold(writer))
+        writer.put(taken(1))
+        writers.append(writer)
+
+    play(scene)
+    release[0].set()
+    writers[0]._thread.join(WAIT_S)
+    assert not writers[0]._thread.is_alive() and raised == []
+    Database(path).close()
+
+
 def test_what_is_queued_while_the_disk_fails_does_not_use_up_its_retries(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
