A job cancelled beside its answer is recorded with that answer, not as never run

What callers saw: a deferred job cancelled in the turn in which its answer came ended as "cancelled, never ran", though it had been served; whoever trusts that sends it again. Cause: the core forgets an answered request at once, and an unknown request counts as never run; the cancellation hides the answer from the task that waits for it. Why it works: the core tells the queue of the answer as it is given, and an answered job can't be cancelled any more.

--- a/oxbowyard/core/lifecycle.py
+++ b/oxbowyard/core/lifecycle.py
@@ -193,6 +193,8 @@
         if entry.is_answered:
             return
         entry.answer.set_result(answer)
+        if entry.request.on_answer is not None:
+            entry.request.on_answer(answer)
         self._deadlines.cancel(entry)
         elapsed_s = self._loop.time() - entry.received_at
         self._measure.record_answer(entry.request.job_class, answer.kind, elapsed_s, entry.run_time_s)
--- a/oxbowyard/core/request.py
+++ b/oxbowyard/core/request.py
@@ -78,6 +78,9 @@
     record_lease: Callable[[str, Callable[[], None]], None] | None = None
     on_running: Callable[[bool], None] | None = None  # True when a backend starts it, False when that ends
     on_update: Callable[[AttemptUpdate], None] | None = None
+    # Called with the final answer as soon as there is one: a cancellation of `Scheduler.serve` in the same turn
+    # of the event loop hides it. Set by the queue of deferred jobs, which records how each ended.
+    on_answer: Callable[[Answer], None] | None = None
     # Whether somebody still waits for the answer; a transport asks just before it sends the last byte. Unset
     # where the work is to be done whether or not the client stays.
     client_connected: Callable[[], bool] | None = None
--- a/oxbowyard/waiting/core_submissions.py
+++ b/oxbowyard/waiting/core_submissions.py
@@ -41,6 +41,7 @@
     task: asyncio.Task[Answer] | None = None  # None: its release waits for the journal
     submitted_at_ms: float = 0.0
     run_state_at_cancel: RunState | None = None  # None: not cancelled
+    is_answered: bool = False  # its answer is on the way: it can't be cancelled any more
     lease_expired: bool = False  # cancelled because its lease expired
 
 
@@ -162,6 +163,7 @@
             record_lease=partial(self._record_lease, job, lease) if needs_lease else None,
             on_running=partial(self._on_running, job, request.on_running),
             on_update=partial(self._on_update, job, request.on_update),
+            on_answer=partial(self._note_answer, job.id),
         )
 
     def _must_not_repeat(self, job: Job) -> bool:
@@ -194,6 +196,10 @@
         if notify is not None:
             notify(update)
 
+    def _note_answer(self, job_id: str, answer: Answer) -> None:
+        if submission := self._submissions.get(job_id):
+            submission.is_answered = True
+
     def _on_answer(self, job: Job, task: asyncio.Task[Answer]) -> None:
         submission = self._submissions.pop(job.id)
         now = self._clock()
@@ -258,6 +264,8 @@
             self._policy.job_rejected(now, job, 0.0, may_retry=True)
 
     def _cancel(self, submission: _Submission) -> None:
+        if submission.is_answered:
+            return
         submission.run_state_at_cancel = self._scheduler.run_state(submission.request_id)
         if submission.task is not None:
             submission.task.cancel()
--- /dev/null
+++ b/tests/test_cancel_crossings.py
@@ -0,0 +1,83 @@
+"""A cancelled job and its answer, or its last byte, in one turn of the event loop, in either order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+from test_job_queue import Stage
+from virtual import play
+
+from oxbowyard.core.request import AttemptContext, AttemptOutcome, Request, RunState, reason_not_to_send
+from oxbowyard.decision.facade import Result
+from oxbowyard.waiting.job import JobOutcome
+
+CLASSES = ("free", "once")
+# How the attempt ends, and what a job that is answered by it has to say of its run.
+ENDS = {Result.OK: RunState.HAS_RUN, Result.TIMEOUT: RunState.MAY_BE_RUNNING}
+
+
+class Crossing:
+    """A job at a worker that answers, or is sent the last byte, when the scene says so."""
+
+    def __init__(self, job_class: str, ends: Result = Result.OK) -> None:
+        self.stage = Stage(self.attempt)
+        self.job_class = job_class
+        self.ends = ends
+        self.may_send = asyncio.Event()
+        self.may_answer = asyncio.Event()
+        self.sent = 0
+
+    async def attempt(self, backend: str, request: Request, context: AttemptContext) -> AttemptOutcome:
+        await self.may_send.wait()
+        if reason := reason_not_to_send(request, context):  # as the transports ask before the last byte
+            return AttemptOutcome(Result.NOT_SENT, reason=reason)
+        context.written = True
+        self.sent += 1
+        await self.may_answer.wait()
+        return AttemptOutcome(self.ends, b"made")
+
+    async def begin(self) -> None:
+        self.stage.submit("j", self.job_class)
+        await asyncio.sleep(0.1)
+
+    async def cancel_beside(self, event: asyncio.Event, turns: int, cancel_first: bool) -> None:
+        """Cancel the job some turns of the loop after, or just before, the event."""
+        steps: list[Callable[[], object]] = [event.set, lambda: self.stage.room.cancel("j")]
+        if cancel_first:
+            steps.reverse()
+        steps[0]()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        steps[1]()
+
+    async def end(self) -> tuple[JobOutcome, RunState]:
+        self.may_send.set()
+        self.may_answer.set()
+        await self.stage.until("j")
+        final = self.stage.finals["j"]
+        return final.outcome, final.run_state
+
+
+@pytest.mark.parametrize("turns", range(6))
+@pytest.mark.parametrize("ends", ENDS)
+@pytest.mark.parametrize("job_class", CLASSES)
+@pytest.mark.parametrize("cancel_first", [False, True])
+def test_a_cancel_beside_the_answer_never_says_that_a_job_never_ran(
+    cancel_first: bool, job_class: str, ends: Result, turns: int
+) -> None:
+    # Guards against a job recorded as never run although it was served: its client may send it again.
+    async def scene() -> None:
+        crossing = Crossing(job_class, ends)
+        await crossing.begin()
+        crossing.may_send.set()
+        await asyncio.sleep(0.1)
+        assert crossing.sent == 1
+        await crossing.cancel_beside(crossing.may_answer, turns, cancel_first)
+        outcome, run_state = await crossing.end()
+        assert run_state is not RunState.NEVER_RAN
+        if outcome is JobOutcome.SERVED:
+            assert run_state is RunState.HAS_RUN
+
+    play(scene)
