A cancelled job is not sent after it was recorded as never run

What callers saw: a deferred job cancelled just before its last byte was recorded as never run, and sent in the same turn. Cause: a cancellation reaches the attempt one turn later, and the check before the last byte looked at the client's connection alone. Evidence: both orders at six distances, two effects: 2 of 24 cases fail on the program as found. Why it works: the check also asks whether the request has no answer and is not cancelled; both transports use it. Measured: 72 of 72 pass.

--- a/oxbowyard/core/attempts.py
+++ b/oxbowyard/core/attempts.py
@@ -55,6 +55,7 @@
             on_started=partial(self._started, entry, action),
             on_update=partial(self._updated, entry, action),
             send_deadline=entry.repeat_deadline,
+            is_wanted=lambda: not entry.is_answered,
         )
         task = self._loop.create_task(self._run(entry.request, action, context))
         entry.attempt = RunningAttempt(action, context, task, sent_at=self._loop.time())
--- a/oxbowyard/core/request.py
+++ b/oxbowyard/core/request.py
@@ -106,6 +106,7 @@
     on_update: Callable[[AttemptUpdate], None] = lambda update: None
     # Loop time until which the last byte may be sent: workers drop a repeat of an earlier attempt until then.
     send_deadline: float = math.inf
+    is_wanted: Callable[[], bool] = lambda: True  # whether the request has no answer yet, and was not cancelled
     written: bool = False  # the last byte was handed to the connection: from here on the request may run
 
 
@@ -154,6 +155,8 @@
     # Asked here again since a busy loop, or a connection that is not read, notices a disconnect too late.
     if not is_client_connected(request):
         return "its client left"
+    if not context.is_wanted():
+        return "cancelled"
     if asyncio.get_running_loop().time() > context.send_deadline:
         return "too late for a repeat"
     return ""
--- a/tests/test_cancel_crossings.py
+++ b/tests/test_cancel_crossings.py
@@ -81,3 +81,25 @@
             assert run_state is RunState.HAS_RUN
 
     play(scene)
+
+
+@pytest.mark.parametrize("turns", range(6))
+@pytest.mark.parametrize("job_class", CLASSES)
+@pytest.mark.parametrize("cancel_first", [False, True])
+def test_a_cancelled_job_that_is_said_to_have_never_run_is_not_sent(
+    cancel_first: bool, job_class: str, turns: int
+) -> None:
+    # Guards against the last byte of a job whose cancel was recorded a moment before.
+    async def scene() -> None:
+        crossing = Crossing(job_class)
+        await crossing.begin()
+        await crossing.cancel_beside(crossing.may_send, turns, cancel_first)
+        outcome, run_state = await crossing.end()
+        await asyncio.sleep(1.0)
+        if run_state is RunState.NEVER_RAN:
+            assert crossing.sent == 0
+        else:
+            assert crossing.sent == 1
+        assert outcome in (JobOutcome.CANCELLED, JobOutcome.SERVED)
+
+    play(scene)
