A page of the job listing skips no job while earlier ones are read back

What callers saw: GET /jobs beside a recovery could leave out jobs. Cause: the jobs were bisected by number in the order in which they came to memory; a recovery adds lower numbers later. Evidence: seven earlier jobs read back beside five new ones, pages of 1, 2, 3 and 50: all four fail on the program as found. Why it works: the jobs are kept in the order of their numbers; a page no longer copies the references of all jobs.

--- a/oxbowyard/core/request.py
+++ b/oxbowyard/core/request.py
@@ -78,8 +78,8 @@
     record_lease: Callable[[str, Callable[[], None]], None] | None = None
     on_running: Callable[[bool], None] | None = None  # True when a backend starts it, False when that ends
     on_update: Callable[[AttemptUpdate], None] | None = None
-    # Called with the final answer as soon as there is one: a cancellation of `Scheduler.serve` in the same turn
-    # of the event loop hides it. Set by the queue of deferred jobs, which records how each ended.
+    # Called with the final answer as soon as there is one: a cancellation of `Scheduler.serve` in the same
+    # turn of the event loop hides it. Set by the queue of deferred jobs, which records how each ended.
     on_answer: Callable[[Answer], None] | None = None
     # Whether somebody still waits for the answer; a transport asks just before it sends the last byte. Unset
     # where the work is to be done whether or not the client stays.
@@ -106,7 +106,9 @@
     on_update: Callable[[AttemptUpdate], None] = lambda update: None
     # Loop time until which the last byte may be sent: workers drop a repeat of an earlier attempt until then.
     send_deadline: float = math.inf
-    is_wanted: Callable[[], bool] = lambda: True  # whether the request has no answer yet, and was not cancelled
+    is_wanted: Callable[[], bool] = lambda: (
+        True
+    )  # whether the request has no answer yet, and was not cancelled
     written: bool = False  # the last byte was handed to the connection: from here on the request may run
 
 
--- a/oxbowyard/waiting/acceptance.py
+++ b/oxbowyard/waiting/acceptance.py
@@ -107,6 +107,7 @@
     )
     _add_dependencies(state, job, submission)
     state.jobs[job.id] = job
+    state.jobs_by_number.add(job)
     if job.idempotency_key:
         state.by_idempotency_key[job.tenant, job.idempotency_key] = job
     state.held.add(job)
--- a/oxbowyard/waiting/policy.py
+++ b/oxbowyard/waiting/policy.py
@@ -58,7 +58,7 @@
 
         A page may be short, or empty, with more to come: a call examines a bounded number of jobs.
         """
-        return page_of(list(self._state.jobs.values()), after, limit, matches)
+        return page_of(self._state.jobs_by_number, after, limit, matches)
 
     def position(self, job: Job) -> int:
         """How many jobs of its class are before a job that is ready."""
--- a/oxbowyard/waiting/policy_state.py
+++ b/oxbowyard/waiting/policy_state.py
@@ -14,6 +14,7 @@
 from ..core.request import RunState
 from .held_jobs import HeldJobs
 from .job import Action, DependencyCondition, Job, JobOutcome, JobState, StateChanged
+from .listing import jobs_by_number
 from .release_queues import ClassPriorities, ReleaseQueues, release_due_ms
 from .release_rate import CapacityOf, ReleaseRate
 from .settings import WaitingSettings
@@ -51,6 +52,7 @@
         self.age_limit_ms = settings.age_limit_s * 1000
         self.idle_limit_ms = settings.quiet_limit_s * 1000
         self.jobs: dict[str, Job] = {}
+        self.jobs_by_number = jobs_by_number()  # a recovery adds lower numbers after higher ones
         self.by_idempotency_key: dict[tuple[str, str], Job] = {}  # by tenant and key
         self.timers: SortedList[tuple[float, int, Job]] = SortedList()  # due time, number, job
         self.ready = ReleaseQueues()
--- a/oxbowyard/waiting/retention.py
+++ b/oxbowyard/waiting/retention.py
@@ -62,6 +62,7 @@
     set_state(state, job, JobState.PURGED)
     state.held.by_state[JobState.PURGED] -= 1
     del state.jobs[job.id]
+    state.jobs_by_number.remove(job)
     if job.idempotency_key:
         state.by_idempotency_key.pop((job.tenant, job.idempotency_key), None)
 
