Gearman: nobody gets a handle before the store has the job, and each client its end

What callers saw: a second submission with one unique id got its handle before the first was on disk; a background job that joined a foreground one was never stored; where the store refused or was lost later, the second client never got an end. Cause: joining looked for the unique id alone, not for whether the job is stored. Why it works: who joins a job that is being stored is answered with its first submitter. A background submission does not join a job that is not stored: a repeatable one is stored beside it, another is refused (JOB_QUEUE_FULL) until that ends. As the store is lost, clients of stored jobs get WORK_FAIL.

--- a/oxbowyard/gearman/deferred_jobs.py
+++ b/oxbowyard/gearman/deferred_jobs.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from ..core.request import Request
@@ -36,6 +36,14 @@
     return ERROR_CODES.get(error.code, ErrorCode.JOB_QUEUE_FULL)
 
 
+@dataclass(slots=True, frozen=True)
+class _Submitter:
+    """A client whose submission is acknowledged once the job is stored."""
+
+    client: JobClient
+    background: bool  # it does not wait for the job's end
+
+
 class DeferredJobs:
     """Submits Gearman jobs to the queue of deferred jobs, and takes back those of an earlier process."""
 
@@ -44,7 +52,9 @@
         self._table = table
         self._functions = functions
         self._submitting: set[asyncio.Task[None]] = set()
+        self._submitters: dict[Job, list[_Submitter]] = {}  # of jobs that are being stored
         queue.adopters.append(self.adopt)
+        queue.journal_lost_callbacks.append(self._end_waits_for_stored_jobs)
 
     def is_durable(self, submission: Submission) -> bool:
         """Whether the job is stored before its client gets the handle."""
@@ -60,22 +70,51 @@
         if submission.unique and submission.function.job_class.retry_safety is not RetrySafety.IDEMPOTENT:
             # What must not run twice is the same job for a client that got no answer to its first submission.
             options = replace(options, idempotency_key=_idempotency_key(submission))
-        client.pause_input()
-        task = asyncio.get_running_loop().create_task(self._store(job, request, options, client))
+        job.durable = True
+        self._submitters[job] = []
+        self.join_once_stored(job, submission, client)
+        task = asyncio.get_running_loop().create_task(self._store(job, request, options))
         self._submitting.add(task)
         task.add_done_callback(self._submitting.discard)
 
-    async def _store(self, job: Job, request: Request, options: WaitOptions, client: JobClient) -> None:
+    def is_being_stored(self, job: Job) -> bool:
+        """Whether the job is not acknowledged yet, since the store does not have it."""
+        return job in self._submitters
+
+    def join_once_stored(self, job: Job, submission: Submission, client: JobClient) -> None:
+        """The client gets the handle of a job that is being stored, or the error, when that is done."""
+        client.pause_input()
+        self._submitters[job].append(_Submitter(client, submission.background))
+
+    async def _store(self, job: Job, request: Request, options: WaitOptions) -> None:
+        rejection = encode_error(ErrorCode.JOB_QUEUE_FULL, "the job was not stored")
+        handle = ""
         try:
             handle = await self._submit_and_store(job, request, options)
-            client.send(encode(PacketType.JOB_CREATED, handle.encode()))
         except JobRejectedError as error:
             self._table.remove(job)
-            client.send(encode_error(error_code(error), error.text))
+            rejection = encode_error(error_code(error), error.text)
         except PacketRejectedError as error:
-            client.send(encode_error(error.code, error.text))
+            rejection = encode_error(error.code, error.text)
         finally:
-            client.resume_input()
+            for submitter in self._submitters.pop(job):
+                if handle:
+                    self._acknowledge(submitter, handle.encode())
+                else:
+                    submitter.client.send(rejection)
+                submitter.client.resume_input()
+
+    def _acknowledge(self, submitter: _Submitter, handle: bytes) -> None:
+        """Send the handle of a stored job; a client that waits for the end gets one in any case."""
+        client = submitter.client
+        client.send(encode(PacketType.JOB_CREATED, handle))
+        if submitter.background or not client.is_connected():
+            return
+        job = self._table.find(handle)
+        if job is not None:
+            self._table.add_client(job, client)
+        else:  # it was the same job as an earlier one, which has ended
+            client.send(encode(PacketType.WORK_FAIL, handle))
 
     async def _submit_and_store(self, job: Job, request: Request, options: WaitOptions) -> str:
         """Returns the handle, which is an earlier job's if this is the same one."""
@@ -108,6 +147,7 @@
             return None
         unique = request.extras.get(UNIQUE_EXTRA, "").encode(UNIQUE_ENCODING)
         job = self._table.add(request.id.encode(), function, unique, len(request.payload), background=True)
+        job.durable = True
         priority = Priority(int(request.extras.get(PRIORITY_EXTRA, Priority.NORMAL.value)))
         return build_request(job, request.payload, priority, self._table), self._on_end(job)
 
@@ -127,6 +167,13 @@
         reason = "" if outcome is JobOutcome.SERVED else "its worker said so, late"
         return self._queue.deliver_late_result(attempt.job_id, attempt.lease, outcome, body, reason)
 
+    def _end_waits_for_stored_jobs(self) -> None:
+        """The ends of stored jobs can't be recorded any more, so nobody will be told of them."""
+        for job in self._table.stored_jobs():
+            job.send(encode(PacketType.WORK_WARNING, job.handle, b"its end is not known: the store is lost"))
+            job.send(encode(PacketType.WORK_FAIL, job.handle))
+            self._table.forget_clients(job)
+
     def _on_end(self, job: Job) -> Callable[[JobResult], None]:
         def on_end(result: JobResult) -> None:
             self._table.remove(job)
--- a/oxbowyard/gearman/job.py
+++ b/oxbowyard/gearman/job.py
@@ -65,6 +65,7 @@
     payload_bytes: int
     clients: dict[JobClient, None] = field(default_factory=dict)
     task: asyncio.Task[None] | None = None  # serves it, unless it is deferred
+    durable: bool = False  # it is stored, or about to be
     running: bool = False
     progress: Progress = field(default_factory=Progress)
 
--- a/oxbowyard/gearman/job_table.py
+++ b/oxbowyard/gearman/job_table.py
@@ -80,6 +80,16 @@
             del job.clients[client]
         return jobs
 
+    def stored_jobs(self) -> list[Job]:
+        """The jobs that the store has, or is about to have."""
+        return [job for job in self._by_handle.values() if job.durable]
+
+    def forget_clients(self, job: Job) -> None:
+        """Nobody waits for the job any more."""
+        for client in job.clients:
+            self._by_client[client].pop(job, None)
+        job.clients.clear()
+
     def set_running(self, job: Job, running: bool) -> None:
         """A worker has begun a job, or an attempt of it has ended."""
         if running != job.running and job.handle in self._by_handle:
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -9,10 +9,12 @@
 
 from ..core.request import Answer, AnswerKind, Request
 from ..core.scheduler import Scheduler
+from ..decision.settings import RetrySafety
 from ..waiting.job import JobOutcome
 from .codec import encode
 from .config import GearmanConfig
 from .deferred_jobs import DeferredJobs
+from .errors import ErrorCode, PacketRejectedError
 from .job import Job, JobClient
 from .job_limits import JobLimits
 from .job_requests import build_request
@@ -60,13 +62,28 @@
         can_defer = self._deferred is not None
         submission = parse_submission(packet_type, arguments, self._functions, can_defer)
         same = self._table.find_unique(submission.function, submission.unique)
-        if same is not None:
+        if same is not None and self._deferred is not None and self._deferred.is_being_stored(same):
+            self._deferred.join_once_stored(same, submission, client)
+        elif same is not None and self._may_join(same, submission):
             self._join(same, client, submission)
         elif self._deferred is not None and (submission.function.queueing or submission.background):
             self._submit_deferred(self._deferred, submission, client)
         else:
             self._submit_now(submission, client)
 
+    def _may_join(self, job: Job, submission: Submission) -> bool:
+        """Whether a submission is the same job as one that has not ended; raises PacketRejectedError if it
+        can neither be that nor run beside it.
+
+        A job that is not stored can't stand for one that has to be.
+        """
+        if job.durable or self._deferred is None or not self._deferred.is_durable(submission):
+            return True
+        if submission.function.job_class.retry_safety is RetrySafety.IDEMPOTENT:
+            return False
+        text = "a job with this unique id is not stored: submit this again once that has ended"
+        raise PacketRejectedError(ErrorCode.JOB_QUEUE_FULL, text)
+
     def _submit_now(self, submission: Submission, client: JobClient) -> None:
         job = self._accept(submission, deferred=False)
         request = build_request(job, submission.workload, submission.priority, self._table)
--- /dev/null
+++ b/tests/test_gearman_durable.py
@@ -0,0 +1,195 @@
+"""Gearman submissions with one unique id, while the store takes its time or fails."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from test_durable import Kept_, play
+from test_job_queue import FREE, ONCE, Attempt, hangs, served
+
+from oxbowyard.decision.events import WorkerInfo
+from oxbowyard.gearman.codec import encode
+from oxbowyard.gearman.config import KIND, GearmanConfig, parse
+from oxbowyard.gearman.errors import PacketRejectedError
+from oxbowyard.gearman.jobs import Jobs
+from oxbowyard.gearman.packet_types import PacketType
+from oxbowyard.store.database import Database
+from oxbowyard.store.record import StoreError, StoreFailure
+
+BACKGROUND, FOREGROUND = PacketType.SUBMIT_JOB_BG, PacketType.SUBMIT_JOB
+
+
+class Client:
+    """A client's connection that keeps what it is sent."""
+
+    def __init__(self) -> None:
+        self.accepts_exceptions = False
+        self.received: list[bytes] = []
+        self.paused = 0
+
+    def send(self, data: bytes) -> None:
+        self.received.append(data)
+
+    def is_connected(self) -> bool:
+        return True
+
+    def pause_input(self) -> None:
+        self.paused += 1
+
+    def resume_input(self) -> None:
+        self.paused -= 1
+
+    def got(self, packet_type: PacketType) -> bool:
+        number = encode(packet_type)[4:8]
+        return any(data[4:8] == number for data in self.received)
+
+
+def config() -> GearmanConfig:
+    functions = {"repeatable": {"class": "free"}, "file": {"class": "once"}}
+    return parse({"listen": "127.0.0.1:0", "functions": functions}, (FREE, ONCE))
+
+
+class Front:
+    """The client side of the front over a store."""
+
+    def __init__(self, path: Path, attempt: Attempt, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr("test_job_queue.CLASSES", (FREE, ONCE, *config_classes()))
+        self.kept = Kept_(path, attempt)
+        self.kept.stage.list_(*(WorkerInfo(f"g{i}", kind=KIND) for i in range(4)))
+        self.jobs = Jobs(config(), self.kept.stage.scheduler, "t", self.kept.room)
+
+    def submit(self, packet_type: PacketType, function: str = "file", unique: bytes = b"u1") -> Client:
+        client = Client()
+        self.jobs.submit(packet_type, [function.encode(), unique, b"sheet"], client)
+        return client
+
+
+def config_classes() -> tuple[Any, ...]:
+    return tuple(function.job_class for function in config().functions.values())
+
+
+@asynccontextmanager
+async def slow_store(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Callable[[], None]]:
+    """Commits wait until the function is called."""
+    release = threading.Event()
+    apply = Database.apply
+
+    def held(self: Database, changes: Any) -> None:
+        release.wait(5.0)
+        apply(self, changes)
+
+    monkeypatch.setattr(Database, "apply", held)
+    try:
+        yield release.set
+    finally:
+        release.set()
+        await asyncio.sleep(0.05)
+
+
+async def until(condition: Callable[[], Any]) -> None:
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
+@pytest.mark.parametrize("function", ["file", "repeatable"])
+@pytest.mark.parametrize("second", [BACKGROUND, FOREGROUND])
+def test_a_second_submission_is_acknowledged_no_sooner_than_the_store_has_the_job(
+    second: PacketType, function: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a handle that a crash makes worthless: the first submission was not on disk yet.
+    async def scene() -> None:
+        front = Front(tmp_path / "jobs.db", served, monkeypatch)
+        async with slow_store(monkeypatch) as release:
+            clients = [front.submit(BACKGROUND, function), front.submit(second, function)]
+            await asyncio.sleep(0.05)
+            assert [client.received for client in clients] == [[], []]
+            release()
+            await until(lambda: all(client.got(PacketType.JOB_CREATED) for client in clients))
+        if second is FOREGROUND:
+            await until(lambda: clients[1].got(PacketType.WORK_COMPLETE))
+        assert [client.paused for client in clients] == [0, 0]
+        await front.kept.durable_store.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("second", [BACKGROUND, FOREGROUND])
+def test_both_submitters_are_told_where_the_store_fails(
+    second: PacketType, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a client that joined a job which was never stored, and waits for its end for ever.
+    def damaged(self: Database, changes: Any) -> None:
+        raise StoreError(StoreFailure.DAMAGED, "injected")
+
+    async def scene() -> None:
+        front = Front(tmp_path / "jobs.db", served, monkeypatch)
+        monkeypatch.setattr(Database, "apply", damaged)
+        clients = [front.submit(BACKGROUND), front.submit(second)]
+        await until(lambda: all(client.got(PacketType.ERROR) for client in clients))
+        assert not any(client.got(PacketType.JOB_CREATED) for client in clients)
+        await front.kept.durable_store.close()
+
+    play(scene)
+
+
+def test_a_background_job_that_must_not_run_twice_does_not_join_one_that_is_not_stored(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a background job that is acknowledged and gone after a crash.
+    async def scene() -> None:
+        front = Front(tmp_path / "jobs.db", hangs, monkeypatch)
+        first = front.submit(FOREGROUND)
+        assert first.got(PacketType.JOB_CREATED)
+        with pytest.raises(PacketRejectedError, match="not stored"):
+            front.submit(BACKGROUND)
+        front.jobs.remove_client(first)
+        await front.kept.durable_store.close()
+
+    play(scene)
+
+
+def test_a_repeatable_background_job_is_stored_beside_one_that_is_not(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scene() -> None:
+        front = Front(tmp_path / "jobs.db", hangs, monkeypatch)
+        first = front.submit(FOREGROUND, "repeatable")
+        second = front.submit(BACKGROUND, "repeatable")
+        await until(lambda: second.got(PacketType.JOB_CREATED))
+        handle = second.received[0][12:].decode()
+        assert await front.kept.room.recall(handle) is not None
+        assert (await front.kept.durable_store._writer.read(lambda db: db.find(handle))) is not None
+        front.jobs.remove_client(first)
+        front.kept.room.cancel(handle)
+        await front.kept.durable_store.close()
+
+    play(scene)
+
+
+def test_a_client_that_joined_a_stored_job_gets_an_end_where_the_store_is_lost_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a client that waits for ever, since the job's end can't be recorded.
+    def damaged(self: Database, changes: Any) -> None:
+        raise StoreError(StoreFailure.DAMAGED, "injected")
+
+    async def scene() -> None:
+        front = Front(tmp_path / "jobs.db", hangs, monkeypatch)
+        first = front.submit(BACKGROUND)
+        await until(lambda: first.got(PacketType.JOB_CREATED))
+        second = front.submit(FOREGROUND)
+        await until(lambda: second.got(PacketType.JOB_CREATED))
+        monkeypatch.setattr(Database, "apply", damaged)
+        front.submit(BACKGROUND, unique=b"another")
+        await until(lambda: second.got(PacketType.WORK_FAIL))
+        front.jobs.remove_client(second)
+        await front.kept.durable_store.close()
+
+    play(scene)
