A process that only starts, or leaves, does not say that it has handed over

What callers saw: at a replacement beside a start or an exit the successor was told 'handed over' with no estimates, while the old process went on to accept; an old one that then served never said ready again. Cause: the protocol's state changed with its poll, also where the program declined. Evidence: a program in 'starting' and in 'leaving' beside a successor's file: the handed-over file names it, as found. Why it works: the program declines, the protocol goes back to serving and asks again at the next poll.

--- a/oxbowyard/daemon/hot_restart.py
+++ b/oxbowyard/daemon/hot_restart.py
@@ -60,9 +60,10 @@
                 await self.resume()
 
     async def _hand_over(self) -> None:
-        """Leave the clients to the process that waits to take over."""
+        """Leave the clients to the process that waits to take over; not while this one starts or leaves."""
         context = self._context
         if not context.states.is_serving or context.acceptor is None:
+            self.handover.decline()
             return
         context.states.enter(State.HANDING_OVER)
         self.hand_over_estimates()
--- a/oxbowyard/handover/protocol.py
+++ b/oxbowyard/handover/protocol.py
@@ -76,6 +76,10 @@
             return self._poll_as_serving()
         return self._poll_as_predecessor(in_flight)
 
+    def decline(self) -> None:
+        """The program can't leave its clients now: the next poll says again that it has to hand over."""
+        self.state = HandoverState.SERVING
+
     def end(self) -> None:
         """Leave no file that names this process."""
         for path in (self.files.serving, self.files.successor):
