While clients may use the old rule, the shorter window and the narrower scope of repeats hold

What callers saw: after SIGHUP with a longer window or a wider scope, a job of the old rule could be repeated after its workers had forgotten the first run, and run twice. Cause: two guarded rules were taken for equal and the new one held whole; a mixed pair took the longer window. Why it works: for two guarded rules each part is the stricter one; scopes that do not contain each other allow no repeat.

--- a/oxbowyard/core/settings_update.py
+++ b/oxbowyard/core/settings_update.py
@@ -17,6 +17,7 @@
     RetrySafety.DEDUPLICATED,
     RetrySafety.NOT_IDEMPOTENT,
 )  # from the most lenient
+SCOPE_ALL = "all"
 LIVE_SETTINGS = ("classes", "max_attempts")
 
 
@@ -51,11 +52,20 @@
 
 def _stricter(old: JobClass, new: JobClass) -> JobClass:
     """The new class, with the old repeat rule where that one is stricter."""
+    if old.retry_safety is new.retry_safety is RetrySafety.DEDUPLICATED:
+        return _stricter_deduplication(old, new)
     if BY_STRICTNESS.index(old.retry_safety) <= BY_STRICTNESS.index(new.retry_safety):
         return new
     return replace(
-        new,
-        retry_safety=old.retry_safety,
-        dedup_scope=old.dedup_scope,
-        dedup_window_ms=max(old.dedup_window_ms, new.dedup_window_ms),
+        new, retry_safety=old.retry_safety, dedup_scope=old.dedup_scope, dedup_window_ms=old.dedup_window_ms
     )
+
+
+def _stricter_deduplication(old: JobClass, new: JobClass) -> JobClass:
+    """The new class with a repeat allowed only where, and for as long as, both rules allow it."""
+    window_ms = min(old.dedup_window_ms, new.dedup_window_ms)
+    if old.dedup_scope == new.dedup_scope or old.dedup_scope == SCOPE_ALL:
+        return replace(new, dedup_window_ms=window_ms)
+    if new.dedup_scope == SCOPE_ALL:
+        return replace(new, dedup_scope=old.dedup_scope, dedup_window_ms=window_ms)
+    return replace(new, retry_safety=RetrySafety.NOT_IDEMPOTENT)  # a zone's workers are not a cell's
