With deferred jobs a reload names the attempts too among what waits for a restart

What callers saw: with [waiting], SIGHUP with another maxAttempts did nothing and said nothing. Cause: only the classes were compared. Evidence: a started program, classes, attempts and both changed: two of three cases fail as found. Why it works: both are compared and named by the platform's keys.

--- a/oxbowyard/daemon/reload.py
+++ b/oxbowyard/daemon/reload.py
@@ -77,8 +77,7 @@
         Returns the names of the settings that need a restart."""
         needing_restart = restart_only_changes(self.settings, settings)
         if self._context.subsystems.waiting is not None:  # deferred jobs keep the classes of the start
-            changed = settings.classes != self.settings.classes
-            return (*needing_restart, "settings.lanes") if changed else needing_restart
+            return (*needing_restart, *self._changed_live_settings(settings))
         step = plan_settings_update(self.settings, settings)
         self._cancel_settling()
         if step.final == self.settings:
@@ -89,6 +88,14 @@
         log.info("settings reloaded: classes=%s max_attempts=%d", names, step.final.max_attempts)
         return needing_restart
 
+    def _changed_live_settings(self, settings: Settings) -> tuple[str, ...]:
+        """The platform's keys of those settings that differ, and change live without deferred jobs."""
+        pairs = {
+            "settings.lanes": settings.classes != self.settings.classes,
+            "settings.policyLimits.maxAttempts": settings.max_attempts != self.settings.max_attempts,
+        }
+        return tuple(key for key, has_changed in pairs.items() if has_changed)
+
     def _cancel_settling(self) -> None:
         """Drop the later step of an earlier reload, also where this one merely undoes that."""
         if self._settling is not None:
