A cordon file at the limits of number and length can be read again

What callers saw: with very many long ids, workers that operators had taken out came back at a replacement. Cause: the bound on reading (1 MiB) did not follow from those on what is written. Evidence: 10,000 ids of 256 characters, plain, escaped and of four bytes: unreadable as found. Why it works: the bound is the product of the others.

--- a/oxbowyard/control/cordon_file.py
+++ b/oxbowyard/control/cordon_file.py
@@ -11,7 +11,8 @@
 log = logging.getLogger("oxbowyard.control")
 
 MAX_CORDONED = 10_000  # uids that are read; a file of more is not one of these
-MAX_FILE_BYTES = 1 << 20
+MAX_UID_BYTES = 2048  # of one uid as JSON: 256 characters that are all escaped
+MAX_FILE_BYTES = MAX_CORDONED * MAX_UID_BYTES
 
 Version = tuple[int, int]  # a file's modification time in nanoseconds, and its size in bytes
 ABSENT: Version = (0, 0)
--- /dev/null
+++ b/tests/test_maintenance_limits.py
@@ -0,0 +1,22 @@
+"""Maintenance mode at its limits."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import orjson
+import pytest
+
+from oxbowyard.control.cordon_file import MAX_CORDONED, CordonFile
+from oxbowyard.control.handlers import MAX_UID_LENGTH
+
+
+@pytest.mark.parametrize("character", ["w", "\x01", "\U0001f5c4"])
+def test_a_cordon_file_at_its_limits_is_read_again(character: str, tmp_path: Path) -> None:
+    # Guards against workers that come back into service, since the file that names them is read cut short.
+    digits = len(str(MAX_CORDONED))
+    uids = [f"{n:0{digits}}".ljust(MAX_UID_LENGTH, character) for n in range(MAX_CORDONED)]
+    path = tmp_path / "out.json"
+    path.write_bytes(orjson.dumps(uids[:-1]))
+    CordonFile(path).update(uids[-1], cordoned=True)
+    assert CordonFile(path).read() == frozenset(uids)
