Gearman packets that are whole before an error of the stream are handled

What callers saw: packets in one piece with bytes that can't be decoded were dropped; in smaller pieces they were handled. Cause: the decoder raised for the whole piece. Why it works: items come one by one, and the error waits until those before it are handled.

--- a/oxbowyard/gearman/codec.py
+++ b/oxbowyard/gearman/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from .errors import ErrorCode, StreamError
@@ -72,13 +73,12 @@
         """Discard what is buffered."""
         self._buffer.clear()
 
-    def feed(self, data: bytes) -> list[Packet | TextCommand]:
-        """Return the items that the data completes. Raises StreamError if the stream cannot be decoded."""
+    def feed(self, data: bytes) -> Iterator[Packet | TextCommand]:
+        """The items that the data completes, one by one. Raises StreamError, after those before it, where the
+        stream cannot be decoded."""
         self._buffer += data
-        found: list[Packet | TextCommand] = []
         while (item := self._next()) is not None:
-            found.append(item)
-        return found
+            yield item
 
     def _next(self) -> Packet | TextCommand | None:
         if not self._buffer:
--- a/oxbowyard/gearman/connection.py
+++ b/oxbowyard/gearman/connection.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from ..listeners.disconnects import is_readable, peer_disconnected, unsent_bytes
@@ -69,6 +69,7 @@
         self._timer: asyncio.TimerHandle | None = None  # for the first packet, and each that has begun
         self._ended = False  # nothing is sent any more, and what still comes is dropped
         self._inbox: deque[Packet | TextCommand] = deque()
+        self._stream_error: StreamError | None = None  # nothing after it can be decoded
         self._input_paused = False
         self.is_silent = True  # nothing complete has come from the peer
         self.accepts_exceptions = False
@@ -96,18 +97,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Called by the loop with bytes from the peer: decode them and handle what is complete."""
-        if self._ended:
+        if self._ended or self._stream_error is not None:
             return
         buffered_before = self._decoder.buffered_bytes
-        try:
-            items = self._decoder.feed(data)
-        except StreamError as error:
-            self.end(error.code, error.text)
-            return
-        if items:
+        for item in self._decode(data):
             self.is_silent = False
             self._stop_timer()
-        self._inbox.extend(items)
+            self._inbox.append(item)
         self._handle_inbox()
         if self._decoder.buffered_bytes and not self._ended:
             self._start_timer()
@@ -115,9 +111,19 @@
                 text = "unfinished packets hold all the memory they may"
                 self.end(ErrorCode.TOO_MUCH_UNFINISHED, text)
 
+    def _decode(self, data: bytes) -> Iterator[Packet | TextCommand]:
+        """What the data completes; an error of the stream waits until that is handled."""
+        try:
+            yield from self._decoder.feed(data)
+        except StreamError as error:
+            self._stream_error = error
+            self._decoder.clear()
+
     def _handle_inbox(self) -> None:
         while self._inbox and not self._input_paused and self._transport is not None and not self._ended:
             self._handler.handle(self._inbox.popleft())
+        if self._stream_error is not None and not self._inbox and not self._input_paused and not self._ended:
+            self.end(self._stream_error.code, self._stream_error.text)
 
     def pause_input(self) -> None:
         """An answer has to wait, and so has what the peer sent after: answers keep their order."""
--- /dev/null
+++ b/tests/test_gearman_stream.py
@@ -0,0 +1,115 @@
+"""Byte streams of Gearman peers that end in an error, whatever the pieces in which they come."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from test_gearman_chaos import packet
+from test_job_queue import FREE, ONCE
+
+from oxbowyard.gearman.codec import Packet, TextCommand
+from oxbowyard.gearman.config import parse
+from oxbowyard.gearman.connection import Connection
+from oxbowyard.gearman.errors import ErrorCode
+
+CONFIG = parse({"listen": "127.0.0.1:0", "functions": {"f": {"class": "free"}}}, (FREE, ONCE))
+ECHO, SUBMIT_BACKGROUND = 16, 18
+
+
+class Owner:
+    def __init__(self) -> None:
+        self.errors: list[ErrorCode] = []
+
+    def admit(self, connection: Connection) -> bool:
+        return True
+
+    def may_buffer(self, additional_bytes: int) -> bool:
+        return True
+
+    def count_error(self, code: ErrorCode) -> None:
+        self.errors.append(code)
+
+    def release(self, connection: Connection) -> None:
+        pass
+
+
+class Handler:
+    """Keeps what it is given; the first item may pause the input, as a job that is being stored does."""
+
+    def __init__(self, connection: Connection, pauses: bool) -> None:
+        self.items: list[Packet | TextCommand] = []
+        self.connection, self.pauses = connection, pauses
+
+    def handle(self, item: Packet | TextCommand) -> None:
+        self.items.append(item)
+        if self.pauses and len(self.items) == 1:
+            self.connection.pause_input()
+
+    def disconnect(self) -> None:
+        pass
+
+
+class Transport(asyncio.Transport):
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent = b""
+
+    def write(self, data: object) -> None:
+        self.sent += bytes(data)  # type: ignore[call-overload]
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return False
+
+    def can_write_eof(self) -> bool:
+        return False
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+
+GOOD = packet(ECHO, b"one") + packet(SUBMIT_BACKGROUND, b"f", b"u", b"sheet")
+BAD = {
+    "magic": (b"\0BAD" + b"\0" * 8, ErrorCode.INVALID_MAGIC),
+    "large": (b"\0REQ" + (16).to_bytes(4, "big") + b"\xff" * 4, ErrorCode.PACKET_TOO_LARGE),
+}
+
+
+@pytest.mark.parametrize("pauses", [False, True])
+@pytest.mark.parametrize("fault", BAD)
+@pytest.mark.parametrize("piece", [1, 7, 20, 1000])
+def test_what_is_complete_before_an_error_is_handled_in_whatever_pieces_it_comes(
+    piece: int, fault: str, pauses: bool
+) -> None:
+    # Guards against jobs that are dropped because a later byte of the same piece is wrong.
+    async def scene() -> None:
+        bad, code = BAD[fault]
+        data = GOOD + bad
+        handlers: list[Handler] = []
+        owner = Owner()
+
+        def make(connection: Connection) -> Handler:
+            handlers.append(Handler(connection, pauses))
+            return handlers[-1]
+
+        connection = Connection(CONFIG, owner, make)
+        connection.connection_made(Transport())
+        for start in range(0, len(data), piece):
+            connection.data_received(data[start : start + piece])
+        if pauses:
+            assert len(handlers[0].items) == 1 and owner.errors == []
+            connection.resume_input()
+        assert [item.type for item in handlers[0].items if isinstance(item, Packet)] == [
+            ECHO,
+            SUBMIT_BACKGROUND,
+        ]
+        assert owner.errors == [code]
+        connection.connection_lost(None)
+
+    asyncio.run(scene())
