A workload with a NUL that is its own unique id reaches its worker whole

What callers saw: a job with unique id '-' and binary data reached workers that grab with unique ids cut apart. Cause: '-' stands for the workload, which became an argument that ends at a NUL. Evidence: a workload of two parts: the unique id holds the NUL, as found. Why it works: such a workload's unique id is its digest.

--- a/oxbowyard/gearman/submission.py
+++ b/oxbowyard/gearman/submission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -69,11 +70,16 @@
     if function is None:
         raise PacketRejectedError(ErrorCode.UNKNOWN_FUNCTION, "no such function here")
     if unique == UNIQUE_IS_WORKLOAD:
-        unique = workload
+        unique = _unique_of(workload)
     kind = SUBMISSION_KINDS[packet_type]
     return Submission(function, unique, workload, kind.priority, kind.background, not_before_unix_s)
 
 
+def _unique_of(workload: bytes) -> bytes:
+    """The unique id that stands for a workload: an argument of a packet, which ends at a NUL."""
+    return hashlib.sha256(workload).hexdigest().encode() if b"\0" in workload else workload
+
+
 def _parse_epoch(text: bytes, can_defer: bool) -> float:
     if not can_defer:
         number = PacketType.SUBMIT_JOB_EPOCH.value
--- a/tests/test_gearman_stream.py
+++ b/tests/test_gearman_stream.py
@@ -12,6 +12,8 @@
 from oxbowyard.gearman.config import parse
 from oxbowyard.gearman.connection import Connection
 from oxbowyard.gearman.errors import ErrorCode
+from oxbowyard.gearman.packet_types import PacketType
+from oxbowyard.gearman.submission import parse_submission
 
 CONFIG = parse({"listen": "127.0.0.1:0", "functions": {"f": {"class": "free"}}}, (FREE, ONCE))
 ECHO, SUBMIT_BACKGROUND = 16, 18
@@ -113,3 +115,14 @@
         connection.connection_lost(None)
 
     asyncio.run(scene())
+
+
+def test_a_workload_with_a_nul_as_its_own_unique_id_keeps_the_arguments_apart() -> None:
+    # Guards against a worker that gets a part of the unique id as its workload.
+    workload = b"first\0second"
+    submission = parse_submission(PacketType.SUBMIT_JOB, [b"f", b"-", workload], CONFIG.functions, False)
+    assert submission.workload == workload and b"\0" not in submission.unique
+    other = parse_submission(PacketType.SUBMIT_JOB, [b"f", b"-", b"first\0other"], CONFIG.functions, False)
+    assert other.unique != submission.unique
+    plain = parse_submission(PacketType.SUBMIT_JOB, [b"f", b"-", b"sheet"], CONFIG.functions, False)
+    assert plain.unique == b"sheet"
