NaN, infinity and fractions are rejected wherever a number is read

Cause: bounds that NaN passes, conversions before checks. Why it works: a number has to be finite before anything else is asked; the model's walker, the Gearman file, the platform's memory and a peer's facts each ask at one place.

--- a/oxbowyard/configuration/check.py
+++ b/oxbowyard/configuration/check.py
@@ -61,7 +61,8 @@
 
 
 def _repeated_classes(document: Mapping[str, Any]) -> list[ValidationIssue]:
-    lanes = (document.get("settings") or {}).get("lanes")
+    settings = document.get("settings")
+    lanes = settings.get("lanes") if isinstance(settings, dict) else None
     if not isinstance(lanes, list):
         return []
     names = [str(lane.get("name")) for lane in lanes if isinstance(lane, dict)]
--- a/oxbowyard/configuration/validation_errors.py
+++ b/oxbowyard/configuration/validation_errors.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from types import UnionType
@@ -44,6 +45,9 @@
 
     def walk(self, value: object, type_: Any, key: str) -> Iterator[ValidationIssue]:
         """The issues of a value and all below it."""
+        if isinstance(value, float) and not math.isfinite(value):  # bounds let NaN pass
+            yield ValidationIssue(key, "is not a finite number")
+            return
         struct, origin = _struct_in(type_), get_origin(type_)
         if origin is Annotated and self.detailed:
             yield from self._walk_annotated(value, type_, key)
--- a/oxbowyard/daemon/config.py
+++ b/oxbowyard/daemon/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -134,7 +135,7 @@
         discovery=str(discovery),
         seed=int(str(document.get("seed") or "0"), 16),
         sockets=int(limits.get("sockets") or DEFAULT_SOCKETS),
-        memory_mb=float(limits.get("memory_mb") or DEFAULT_MEMORY_MB),
+        memory_mb=_finite(limits.get("memory_mb") or DEFAULT_MEMORY_MB, "limits.memory_mb"),
         max_held_requests=int(settings["policyLimits"].get("mostHeld") or DEFAULT_MAX_HELD),
         settings=settings_of(settings),
         weight_is_per_work=settings.get("worthBy") == "work",
@@ -145,6 +146,13 @@
     )
 
 
+def _finite(value: object, name: str) -> float:
+    number = float(str(value))
+    if not math.isfinite(number):
+        raise ValueError(f"{name} is not a finite number: {value!r}")
+    return number
+
+
 def address(text: object, name: str) -> tuple[str, int]:
     """Split HOST:PORT; raises ValueError, which names the key `name`."""
     host, _, port = str(text or "").rpartition(":")
--- a/oxbowyard/gearman/config.py
+++ b/oxbowyard/gearman/config.py
@@ -27,6 +27,7 @@
 MAX_TIMEOUT_S = 3600.0
 MAX_WAIT_S = 10 * 365 * 86400.0
 MS_PER_S = 1000
+MAX_NUMBER = 1e15  # of any number in the file
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,12 +107,18 @@
 
 
 def _positive(row: dict[str, Any], key: str, default: float) -> int:
+    """A whole number; of others the fraction is dropped, which must not leave 0."""
     value = row.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value <= 0:
-        raise ValueError(f"{key} must be above 0")
+    if not _is_number(value) or value < 1:
+        raise ValueError(f"{key} must be a number of 1 or more")
     return int(value)
 
 
+def _is_number(value: object) -> bool:
+    """Whether it is a number, and neither NaN nor absurdly large."""
+    return isinstance(value, (int, float)) and not isinstance(value, bool) and abs(value) <= MAX_NUMBER
+
+
 def _function(name: str, row: dict[str, Any], bases: dict[str, JobClass]) -> Function:
     base = bases.get(row.get("class", ""))
     if base is None:
@@ -128,8 +135,7 @@
     """The class of a function's jobs: its base class with the function's own deadline and weight."""
     deadline_ms = float(_positive(row, "deadline_ms", base.deadline_ms))
     priority_weight = row.get("worth", base.priority_weight)
-    is_number = isinstance(priority_weight, (int, float)) and not isinstance(priority_weight, bool)
-    if not is_number or priority_weight < 0:
+    if not _is_number(priority_weight) or priority_weight < 0:
         raise ValueError(f"function {name}: worth must not be negative")
     return replace(
         base,
--- a/oxbowyard/gearman/text_commands.py
+++ b/oxbowyard/gearman/text_commands.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import re
+
 from .config import GearmanConfig
 from .jobs import Jobs
 from .workers import Workers
 
 VERSION = "oxbowyard 0.1.0"
 
+MAX_QUEUE_PATTERN = re.compile(r"-?[0-9]{1,9}")
+
 END_OF_LIST = ".\n"
 OK = "OK\n"
 UNKNOWN_COMMAND = "ERR UNKNOWN_COMMAND Unknown+server+command\n"
@@ -56,7 +60,7 @@
         if not arguments:
             self._jobs.limits.reset_max_waiting(function)
             return OK
-        if len(arguments) > 1 or not arguments[0].lstrip("-").isdecimal():
+        if len(arguments) > 1 or not MAX_QUEUE_PATTERN.fullmatch(arguments[0]):
             return INCOMPLETE_ARGUMENTS
         self._jobs.limits.set_max_waiting(function, int(arguments[0]))
         return OK
--- a/oxbowyard/peers/facts.py
+++ b/oxbowyard/peers/facts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from .services import ProgramServices
@@ -66,7 +67,8 @@
 
 
 def shown_facts(facts: Mapping[str, float]) -> dict[str, object]:
-    """A member's facts as the admin API shows them; those of later versions are left out."""
+    """A member's facts as the admin API shows them; those of later versions, or no numbers, are left out."""
+    facts = {key: value for key, value in facts.items() if math.isfinite(value)}
     if not facts:
         return {}
     state = int(facts.get(STATE, 0))
--- /dev/null
+++ b/tests/test_bad_numbers.py
@@ -0,0 +1,196 @@
+"""Numbers that are none, or too large: an error of the parser's own, and nothing infinite inside."""
+
+from __future__ import annotations
+
+import json
+import math
+import tomllib
+from collections.abc import Iterator
+from dataclasses import fields, is_dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from player import ROOT, SETTINGS
+from test_job_queue import FREE, ONCE
+from typer.testing import CliRunner
+
+from oxbowyard.cli.app import app
+from oxbowyard.daemon.config import ConfigurationError, load
+from oxbowyard.decision.platform_settings import settings_of
+from oxbowyard.gearman.config import GearmanConfig
+from oxbowyard.gearman.config import parse as parse_gearman
+from oxbowyard.gearman.jobs import Jobs
+from oxbowyard.gearman.text_commands import INCOMPLETE_ARGUMENTS, OK, TextCommands
+from oxbowyard.operator.file import OperatorFileError
+from oxbowyard.operator.file import load as load_operator
+from oxbowyard.peers.facts import shown_facts
+
+CLASSES = settings_of(SETTINGS).classes
+BAD_VALUES: tuple[Any, ...] = (
+    math.nan,
+    math.inf,
+    -math.inf,
+    -1,
+    0,
+    0.5,
+    1e300,
+    True,
+    "x",
+    "nan",
+    [],
+    {},
+    None,
+)
+NUMBERS = st.one_of(st.floats(), st.integers(-(10**400), 10**400), st.booleans())
+
+
+def scalars(value: object, path: tuple[str | int, ...] = ()) -> Iterator[tuple[str | int, ...]]:
+    """The places of all scalars in a document."""
+    if isinstance(value, dict):
+        for key, item in value.items():
+            yield from scalars(item, (*path, key))
+    elif isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from scalars(item, (*path, index))
+    else:
+        yield path
+
+
+def replaced(document: Any, path: tuple[str | int, ...], value: object) -> Any:
+    """A copy with another value at one place."""
+    copy = json.loads(json.dumps(document))
+    place = copy
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    return copy
+
+
+def to_toml(table: dict[str, Any]) -> str:
+    """A document of tables of scalars and lists."""
+
+    def text(value: object) -> str:
+        if isinstance(value, dict):
+            return "{" + ", ".join(f"{json.dumps(k)} = {text(v)}" for k, v in value.items()) + "}"
+        if isinstance(value, float) and not math.isfinite(value):
+            return {math.inf: "inf", -math.inf: "-inf"}.get(value, "nan")
+        return json.dumps(value)
+
+    return "".join(f"{json.dumps(key)} = {text(value)}\n" for key, value in table.items())
+
+
+def floats_in(value: object) -> Iterator[float]:
+    """Every number inside a configuration."""
+    if isinstance(value, float):
+        yield value
+    elif isinstance(value, msgspec.Struct):
+        for name in value.__struct_fields__:
+            yield from floats_in(getattr(value, name))
+    elif is_dataclass(value) and not isinstance(value, type):
+        for field in fields(value):
+            yield from floats_in(getattr(value, field.name))
+    elif isinstance(value, dict):
+        for item in value.values():
+            yield from floats_in(item)
+    elif isinstance(value, (list, tuple)):
+        for item in value:
+            yield from floats_in(item)
+
+
+OPERATOR: dict[str, Any] = tomllib.loads((ROOT / "deploy/operator.toml").read_text()) | {
+    "durable": {"path": "jobs.db", "max_store_bytes": 1 << 30, "keep_answers_s": 86400.0, "lease_s": 30.0},
+    "membership": {"listen": "127.0.0.1:7946", "period_s": 0.5, "answer_within_s": 0.2, "forget_s": 600.0,
+                   "stream_within_s": 3.0, "doubt_s": 60.0, "split_s": 600.0},
+    "start": {"path": "list.json", "max_age_s": 86400.0, "fresh_s": 60.0, "keep_every_s": 5.0, "turn_s": 2.0},
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("value", [v for v in BAD_VALUES if v is not None], ids=repr)
+def test_no_value_in_the_operators_file_raises_or_gets_infinity_in(value: object, tmp_path: Path) -> None:
+    # Guards against NaN, which passes every bound, and against errors that are no line about the file.
+    path = tmp_path / "operator.toml"
+    for place in scalars(OPERATOR):
+        path.write_text(to_toml(replaced(OPERATOR, place, value)))
+        try:
+            config = load_operator(path, CLASSES)
+        except OperatorFileError:
+            continue
+        assert all(math.isfinite(number) for number in floats_in(config)), place
+
+
+@pytest.mark.parametrize("value", BAD_VALUES, ids=repr)
+def test_no_value_in_the_platforms_file_raises_or_gets_infinity_in(value: object, tmp_path: Path) -> None:
+    document = json.loads((ROOT / "examples/config.json").read_text())
+    path = tmp_path / "config.json"
+    for place in scalars(document):
+        path.write_text(json.dumps(replaced(document, place, value)))
+        try:
+            config = load({"LB_CONFIG": str(path)})
+        except ConfigurationError:
+            continue
+        allowed = {"max_poll_interval_ms"}  # infinite: discovery is not asked
+        numbers = [n for f in fields(config.settings) if f.name not in allowed
+                   for n in floats_in(getattr(config.settings, f.name))]  # fmt: skip
+        assert all(math.isfinite(number) for number in (*numbers, config.memory_mb)), place
+
+
+@pytest.mark.parametrize("document", [{"settings": "x"}, {"settings": 1}, {"settings": ["lanes"]},
+                                      {"settings": {"lanes": "x"}}, {"settings": {"lanes": [1]}}])  # fmt: skip
+def test_check_names_the_fault_of_settings_that_are_no_table(document: object, tmp_path: Path) -> None:
+    # Guards against a command that ends in a traceback.
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(document))
+    done = CliRunner().invoke(app, ["check", str(path)])
+    assert done.exit_code == 2 and "settings" in done.output and done.exception.__class__ is SystemExit
+
+
+def gearman_document(**values: object) -> dict[str, Any]:
+    function = {"class": "free"} | {
+        k: v for k, v in values.items() if k in ("worth", "deadline_ms", "patience_s")
+    }
+    limits = {key: value for key, value in values.items() if key not in function}
+    return {"listen": "127.0.0.1:0", "functions": {"f": function}, **limits}
+
+
+GEARMAN_KEYS = (
+    "max_packet_bytes", "max_connections", "max_buffered_bytes", "packet_within_s", "max_queue", "max_held_bytes",
+    "worth", "deadline_ms", "patience_s",
+)  # fmt: skip
+
+
+@given(key=st.sampled_from(GEARMAN_KEYS), value=NUMBERS)
+def test_a_number_of_the_gearman_file_is_rejected_or_means_what_it_says(key: str, value: object) -> None:
+    # Guards against NaN that passes `<= 0`, and against 0.5 that becomes 0, which means no limit.
+    try:
+        config = parse_gearman(gearman_document(**{key: value}), (FREE, ONCE))
+    except ValueError:
+        return
+    assert all(math.isfinite(number) for number in floats_in(config))
+    assert config.max_queue >= 1 and config.max_connections >= 1 and config.max_packet_bytes >= 1
+    assert config.functions["f"].deadline_s > 0
+
+
+@given(st.dictionaries(st.sampled_from(["state", "held", "slots", "major", "minor", "new"]), st.floats()))
+def test_a_peers_facts_are_shown_whatever_they_say(facts: dict[str, float]) -> None:
+    # Guards against a peer whose NaN makes the operators' view of the group raise.
+    shown = shown_facts(facts)
+    assert all(math.isfinite(value) for value in shown.values() if isinstance(value, float))
+
+
+def test_text_commands_take_a_number_or_say_what_they_take() -> None:
+    config: GearmanConfig = parse_gearman(gearman_document(), (FREE, ONCE))
+    commands = TextCommands(config, Jobs.__new__(Jobs), None)  # type: ignore[arg-type]
+
+    class Limits:
+        def set_max_waiting(self, function: str, number: int) -> None:
+            assert isinstance(number, int)
+
+    commands._jobs.limits = Limits()  # type: ignore[assignment]
+    for text in ("5", "-5", "0"):
+        assert commands.answer(f"maxqueue f {text}") == OK
+    for text in ("--5", "-", "5-", "1e3", "nan", "9" * 5000, "0x1"):  # `--5` was an internal error
+        assert commands.answer(f"maxqueue f {text}") == INCOMPLETE_ARGUMENTS
