Signals in the last moment of the exit leave exit code 0

What callers saw: a SIGHUP or SIGTERM while the program ends made it end by that signal, which counts as a crash. Cause: the event loop takes its handlers back as it closes, and the process lives some tens of milliseconds longer. Why it works: both signals are blocked before the loop closes.

--- a/oxbowyard/__main__.py
+++ b/oxbowyard/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 import os
+import signal
 import sys
 from functools import partial
 from pathlib import Path
@@ -17,10 +18,16 @@
 # The process id tells the two processes of a replacement apart.
 LOG_FORMAT = "%(asctime)s %(process)d %(levelname)s %(name)s: %(message)s"
 EXIT_FAILED = 1
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 
 
 async def _run(load: ConfigurationLoader, take_over: bool) -> int:
-    return await Program(load, take_over).run()
+    program = Program(load, take_over)
+    exit_code = await program.run()
+    # The loop takes its handlers back as it closes: a signal that comes then would end the process by itself,
+    # with another exit code.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    return exit_code
 
 
 def _parser() -> argparse.ArgumentParser:
--- /dev/null
+++ b/tests/test_signals_at_exit.py
@@ -0,0 +1,31 @@
+"""Signals that come while the program is ending."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+from pathlib import Path
+
+import pytest
+from player import ROOT, Program
+
+EXIT_WITHIN_S = 10.0
+PAUSE_S = 0.0005
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signals_until_the_last_moment_leave_the_exit_code_0(number: signal.Signals, tmp_path: Path) -> None:
+    # Guards against a process that a late signal ends by itself, which looks like a crash.
+    document = json.loads((ROOT / "examples/config.json").read_text())
+    program = Program(document | {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}, tmp_path, [])
+    try:
+        program.wait_for("http listens")
+        program.process.send_signal(signal.SIGTERM)
+        until = time.monotonic() + EXIT_WITHIN_S
+        while program.process.poll() is None and time.monotonic() < until:
+            program.process.send_signal(number)
+            time.sleep(PAUSE_S)
+        assert program.process.poll() == 0
+    finally:
+        program.end()
