--- /dev/null
+++ b/benchmarks/soak/audit.py
@@ -0,0 +1,193 @@
+"""Holds what the stand-ins saw against the rules of the platform's pages. No I/O; every rule has its page."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import pairwise
+
+from .plan import MEMORY_MB, SOCKETS, Plan, Semantics
+from .records import Arrival, Exchange, Observation, Process
+
+LATE_ANSWER_S = 0.5  # after its time a request only earns nothing for so long; later it is lost (STANDING)
+SOCKET_SLACK_S = 0.05  # every time limit is so much longer on sockets (PROTOCOL)
+START_AFTER_LEAVE_S = 0.1  # an attempt that begins later is a break (STANDING)
+NEW_SETTINGS_BIND_S = 1.2  # after SIGHUP (DAYS)
+READY_WITHIN_S = 10.0  # STANDING
+KILL_SEEN_WITHIN_S = 0.25  # by a client, whose loop may be late
+REPLACEMENT_READY_WITHIN_S = 6.0  # DAYS
+BAD_CLIENT_WITHIN_S = 3.0  # STANDING
+REFUSALS = (429, 503)
+SERVED = 200
+FAULT_WORDS = (
+    "Traceback", "internal fault", "internal error", "in our own code", "decision fault",
+    "background task ended", "could not carry out", "never retrieved", "InvalidTransition",
+    "against the rules",
+)  # fmt: skip
+
+
+@dataclass(slots=True, frozen=True)
+class Violation:
+    """A rule that was broken."""
+
+    rule: str
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.rule}: {self.text}"
+
+
+def audit(plan: Plan, seen: Observation) -> list[Violation]:
+    """Every rule that was broken in a run."""
+    arrivals: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in sorted(seen.arrivals, key=lambda arrival: arrival.first_byte_at):
+        arrivals[arrival.id].append(arrival)
+    return [
+        *_answers(seen, arrivals),
+        *_contents(seen, arrivals),
+        *_runs(plan, seen, arrivals),
+        *_copies(arrivals),
+        *_starts_after_leaving(seen, arrivals),
+        *_sends_to_draining(seen),
+        *_processes(plan, seen),
+        *(Violation("forgotten job", job) for job in seen.forgotten_jobs),
+        *_bad_clients(seen),
+    ]
+
+
+def _answers(seen: Observation, arrivals: dict[str, list[Arrival]]) -> Iterator[Violation]:
+    """Every request that was read gets exactly one final answer, in its time."""
+    for exchange in seen.exchanges:
+        if exchange.answers > 1:
+            yield Violation("two answers", exchange.id)
+        if exchange.sent_at is None or exchange.left_at is not None:
+            continue
+        latest = exchange.sent_at + exchange.deadline_s + LATE_ANSWER_S + SOCKET_SLACK_S
+        if exchange.answered_at is not None:
+            if exchange.answered_at > latest:
+                yield Violation("late answer", f"{exchange.id} by {exchange.answered_at - latest:.3f} s")
+        elif not _may_be_unanswered(seen, exchange, bool(arrivals.get(exchange.id))):
+            yield Violation("lost request", f"{exchange.id} sent on a {_kind(exchange)} connection")
+
+
+def _kind(exchange: Exchange) -> str:
+    return "new" if exchange.is_first else "kept"
+
+
+def _may_be_unanswered(seen: Observation, exchange: Exchange, was_forwarded: bool) -> bool:
+    """A killed process owes nothing; else a request that was not read, where a close may cross it."""
+    closed_at = exchange.closed_at
+    if closed_at is None:
+        return False
+    if any(_was_killed_at(process, closed_at) for process in seen.processes):
+        return True
+    if was_forwarded:
+        return False
+    return not exchange.is_first or any(begin <= closed_at <= end for begin, end in seen.crowded)
+
+
+def _was_killed_at(process: Process, closed_at: float) -> bool:
+    """Whether a connection ended with the process: its system resets all of them at once."""
+    killed_at = process.killed_at
+    return killed_at is not None and -SOCKET_SLACK_S <= closed_at - killed_at <= KILL_SEEN_WITHIN_S
+
+
+def _contents(seen: Observation, arrivals: dict[str, list[Arrival]]) -> Iterator[Violation]:
+    """A served request has the result that a worker gave for it."""
+    for exchange in seen.exchanges:
+        if exchange.status != SERVED or exchange.answered_at is None:
+            continue
+        if exchange.body not in {arrival.result for arrival in arrivals.get(exchange.id, ())}:
+            yield Violation("foreign answer", f"{exchange.id}: {exchange.body!r}")
+
+
+def _semantics(plan: Plan, seen: Observation, exchange: Exchange) -> Semantics:
+    """The rule of a request's class as it was when the request was sent."""
+    loosened_at = seen.loosened_at if exchange.follows_reloads else None
+    if loosened_at is not None and exchange.begun_at >= loosened_at + NEW_SETTINGS_BIND_S:
+        return Semantics.FREE
+    return plan.class_named(exchange.job_class).semantics
+
+
+def _runs(plan: Plan, seen: Observation, arrivals: dict[str, list[Arrival]]) -> Iterator[Violation]:
+    """What must not run twice never does, and what was refused may be sent again."""
+    for exchange in seen.exchanges:
+        ran = [arrival for arrival in arrivals.get(exchange.id, ()) if arrival.ran]
+        semantics = _semantics(plan, seen, exchange)
+        if semantics is Semantics.SINGLE_SHOT and len(ran) > 1:
+            yield Violation("ran twice", f"{exchange.id} at {', '.join(a.worker for a in ran)}")
+        if semantics is Semantics.SINGLE_SHOT and ran and exchange.status in REFUSALS:
+            yield Violation("refused though it ran", exchange.id)
+        if semantics is Semantics.GUARDED and len(ran) > 1:
+            first, last = ran[0].whole_at, ran[-1].whole_at
+            assert first is not None and last is not None
+            window_s = plan.class_named(exchange.job_class).window_s
+            if last - first > window_s + SOCKET_SLACK_S:
+                yield Violation(
+                    "ran twice", f"{exchange.id}, {last - first:.3f} s apart, window {window_s} s"
+                )
+
+
+def _copies(arrivals: dict[str, list[Arrival]]) -> Iterator[Violation]:
+    """No second copy is sent while an earlier attempt is out on an open connection."""
+    for id_, of_request in arrivals.items():
+        whole = [arrival for arrival in of_request if arrival.whole_at is not None]
+        for earlier, later in pairwise(whole):
+            assert later.whole_at is not None
+            over_at = min(
+                (at for at in (earlier.ended_at, earlier.closed_at) if at is not None), default=float("inf")
+            )
+            if over_at > later.whole_at + SOCKET_SLACK_S:
+                yield Violation("second copy", f"{id_} at {earlier.worker} and {later.worker}")
+
+
+def _starts_after_leaving(seen: Observation, arrivals: dict[str, list[Arrival]]) -> Iterator[Violation]:
+    for exchange in seen.exchanges:
+        if exchange.left_at is None:
+            continue
+        for arrival in arrivals.get(exchange.id, ()):
+            late_s = arrival.first_byte_at - exchange.left_at - START_AFTER_LEAVE_S - SOCKET_SLACK_S
+            if late_s > 0:
+                yield Violation("sent after its client left", f"{exchange.id} by {late_s:.3f} s")
+
+
+def _sends_to_draining(seen: Observation) -> Iterator[Violation]:
+    for drain in seen.drains:
+        for arrival in seen.arrivals:
+            if arrival.worker == drain.worker and drain.binds_at < arrival.first_byte_at < drain.until:
+                late_s = arrival.first_byte_at - drain.binds_at
+                yield Violation("sent to a draining worker", f"{arrival.id} {late_s:.3f} s past the grace")
+
+
+def _processes(plan: Plan, seen: Observation) -> Iterator[Violation]:
+    for number, process in enumerate(seen.processes):
+        yield from _one_process(plan, process, number)
+
+
+def _one_process(plan: Plan, process: Process, number: int) -> Iterator[Violation]:
+    name = f"process {number}"
+    if process.killed_at is None:
+        if process.exit_code != 0:
+            yield Violation("exit code", f"{name}: {process.exit_code}")
+        limit_s = REPLACEMENT_READY_WITHIN_S if number else READY_WITHIN_S
+        if process.ready_at is None or process.ready_at - process.started_at > limit_s:
+            yield Violation("not ready in time", name)
+        if process.terminated_at is not None and process.exited_at is not None:
+            limit_s = max(plan.longest_deadline_s, 3.0) + 0.7
+            if process.exited_at - process.terminated_at > limit_s + SOCKET_SLACK_S:
+                yield Violation("still there when SIGKILL comes", name)
+    for word in FAULT_WORDS:
+        if word in process.log:
+            line = next(line for line in process.log.splitlines() if word in line)
+            yield Violation("fault in the log", f"{name}: {line}")
+    if process.peak_memory_mb > MEMORY_MB:
+        yield Violation("memory", f"{name}: {process.peak_memory_mb:.0f} MB")
+    if process.peak_descriptors > SOCKETS:
+        yield Violation("descriptors", f"{name}: {process.peak_descriptors}")
+
+
+def _bad_clients(seen: Observation) -> Iterator[Violation]:
+    for waited_s in seen.bad_client_waits_s:
+        if waited_s > BAD_CLIENT_WITHIN_S + SOCKET_SLACK_S:
+            yield Violation("bad client kept", f"{waited_s:.3f} s")
--- /dev/null
+++ b/benchmarks/soak/discovery.py
@@ -0,0 +1,122 @@
+"""The stand-in for discovery: the agent on the scheduler's machine, with a list that changes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from collections.abc import Sequence
+
+from .plan import DRAIN_GRACE_S, DiscoveryFault
+from .records import Drain, Observation
+from .workers import HEAD_END, HOST, Worker
+
+NOTIFIED_WITHIN_S = 6.0  # a change counts as told so long after the service has it (PROTOCOL)
+SOCKET_SLACK_S = 0.05
+SLOW_S = 0.4
+POLL_S = 0.005
+
+
+class Discovery:
+    """The list of workers, and the calls for it."""
+
+    def __init__(self, workers: Sequence[Worker], seen: Observation) -> None:
+        self.address = ""
+        self.fault: DiscoveryFault | None = None
+        self._workers = workers
+        self._seen = seen
+        self._revision = 1
+        self._changed: dict[str, int] = {}  # revision of the last change, by worker
+        self._draining: dict[str, Drain] = {}
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    def close(self) -> None:
+        """Listen no more."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def change(self, worker: Worker) -> None:
+        """An entry is another: its start is."""
+        self._revision += 1
+        self._changed[worker.name] = self._revision
+
+    def drain(self, worker: Worker) -> None:
+        """The worker drains; that binds by the notification, and in any case some seconds later."""
+        if worker.name in self._draining:
+            return
+        now = asyncio.get_running_loop().time()
+        binds_at = now + NOTIFIED_WITHIN_S + DRAIN_GRACE_S + SOCKET_SLACK_S
+        drain = self._draining[worker.name] = Drain(worker.name, binds_at)
+        self._seen.drains.append(drain)
+        self.change(worker)
+
+    def take_back(self, worker: Worker) -> None:
+        """The worker is ready again."""
+        drain = self._draining.pop(worker.name, None)
+        if drain is not None:
+            drain.until = asyncio.get_running_loop().time()
+            self.change(worker)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(HEAD_END)
+                await self._answer(head, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
+        after = _number(head, rb"after=(\d+)")
+        if after is not None:
+            await self._wait_for_change(after, (_number(head, rb"wait_ms=(\d+)") or 0) / 1000)
+        while self.fault is DiscoveryFault.SILENT:
+            await asyncio.sleep(POLL_S)
+        if self.fault is DiscoveryFault.SLOW:
+            await asyncio.sleep(SLOW_S)
+        if self.fault is DiscoveryFault.REFUSE:
+            writer.write(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+            return
+        body = self._list(after)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        self._note_notified()
+
+    async def _wait_for_change(self, after: int, wait_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while self._revision <= after and loop.time() < until:
+            await asyncio.sleep(POLL_S)
+
+    def _list(self, after: int | None) -> bytes:
+        rows = [
+            {
+                "uid": worker.name, "endpoint": worker.address, "az": "a", "model": "m",
+                "state": "draining" if worker.name in self._draining else "ready",
+                "boot_ms": int(worker.boot_unix_s * 1000),
+            }
+            for worker in self._workers
+            if after is None or self._changed.get(worker.name, 0) > after
+        ]  # fmt: skip
+        return json.dumps({"rev": self._revision, "all": after is None, "targets": rows}).encode()
+
+    def _note_notified(self) -> None:
+        """What has been written counts as told."""
+        binds_at = asyncio.get_running_loop().time() + DRAIN_GRACE_S + SOCKET_SLACK_S
+        for drain in self._draining.values():
+            drain.binds_at = min(drain.binds_at, binds_at)
+
+
+def _number(head: bytes, pattern: bytes) -> int | None:
+    found = re.search(pattern, head)
+    return int(found[1]) if found else None
--- a/tests/test_bad_numbers.py
+++ b/tests/test_bad_numbers.py
@@ -138,8 +138,16 @@
         assert all(math.isfinite(number) for number in (*numbers, config.memory_mb)), place
 
 
-@pytest.mark.parametrize("document", [{"settings": "x"}, {"settings": 1}, {"settings": ["lanes"]},
-                                      {"settings": {"lanes": "x"}}, {"settings": {"lanes": [1]}}])  # fmt: skip
+@pytest.mark.parametrize(
+    "document",
+    [
+        {"settings": "x"},
+        {"settings": 1},
+        {"settings": ["lanes"]},
+        {"settings": {"lanes": "x"}},
+        {"settings": {"lanes": [1]}},
+    ],
+)
 def test_check_names_the_fault_of_settings_that_are_no_table(document: object, tmp_path: Path) -> None:
     # Guards against a command that ends in a traceback.
     path = tmp_path / "config.json"
@@ -157,8 +165,8 @@
 
 
 GEARMAN_KEYS = (
-    "max_packet_bytes", "max_connections", "max_buffered_bytes", "packet_within_s", "max_queue", "max_held_bytes",
-    "worth", "deadline_ms", "patience_s",
+    "max_packet_bytes", "max_connections", "max_buffered_bytes", "packet_within_s", "max_queue",
+    "max_held_bytes", "worth", "deadline_ms", "patience_s",
 )  # fmt: skip
 
 
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -1,4 +1,4 @@
-"""Each SQLite call of a job's life failing in turn, once or for good: nobody hangs, nothing acknowledged is lost."""
+"""Each SQLite call of a job's life failing in turn: nobody hangs, nothing acknowledged is lost."""
 
 from __future__ import annotations
 
--- a/tests/test_workers_in_part.py
+++ b/tests/test_workers_in_part.py
@@ -128,7 +128,9 @@
     home = served(d, 1, "warm")
     ask(d, 1000, "waits", "once")
     served(d, 1050, "passes")
-    assert len(d.state.workers[home].unstarted) == 1 and ONCE.name not in d.state.workers[home].class_ejections
+    assert (
+        len(d.state.workers[home].unstarted) == 1 and ONCE.name not in d.state.workers[home].class_ejections
+    )
 
 
 def test_the_settings_say_whether_jobs_begin_in_order() -> None:
