--- a/oxbowyard/durable/durable_store.py
+++ b/oxbowyard/durable/durable_store.py
@@ -48,7 +48,7 @@
 
     def _on_health(self, health: Health) -> None:
         if health in LOST and self._queue is not None:
-            self._queue.journal_failed(self.journal.failure_reason())
+            self._queue.intake.journal_failed(self.journal.failure_reason())
 
     def recovery(self, queue: JobQueue, deadlines_s: Mapping[str, float]) -> Recovery:
         """The recovery of the jobs of earlier runs; `deadlines_s` by class."""
--- a/oxbowyard/gearman/deferred_jobs.py
+++ b/oxbowyard/gearman/deferred_jobs.py
@@ -54,7 +54,7 @@
         self._submitting: set[asyncio.Task[None]] = set()
         self._submitters: dict[Job, list[_Submitter]] = {}  # of jobs that are being stored
         queue.adopters.append(self.adopt)
-        queue.journal_lost_callbacks.append(self._end_waits_for_stored_jobs)
+        queue.intake.journal_lost_callbacks.append(self._end_waits_for_stored_jobs)
 
     def is_durable(self, submission: Submission) -> bool:
         """Whether the job is stored before its client gets the handle."""
--- a/oxbowyard/waiting/core_submissions.py
+++ b/oxbowyard/waiting/core_submissions.py
@@ -163,7 +163,7 @@
             record_lease=partial(self._record_lease, job, lease) if needs_lease else None,
             on_running=partial(self._on_running, job, request.on_running),
             on_update=partial(self._on_update, job, request.on_update),
-            on_answer=partial(self._note_answer, job.id),
+            on_answer=partial(_mark_answered, self._submissions[job.id]),
         )
 
     def _must_not_repeat(self, job: Job) -> bool:
@@ -196,10 +196,6 @@
         if notify is not None:
             notify(update)
 
-    def _note_answer(self, job_id: str, answer: Answer) -> None:
-        if submission := self._submissions.get(job_id):
-            submission.is_answered = True
-
     def _on_answer(self, job: Job, task: asyncio.Task[Answer]) -> None:
         submission = self._submissions.pop(job.id)
         now = self._clock()
@@ -269,3 +265,7 @@
         submission.run_state_at_cancel = self._scheduler.run_state(submission.request_id)
         if submission.task is not None:
             submission.task.cancel()
+
+
+def _mark_answered(submission: _Submission, answer: Answer) -> None:
+    submission.is_answered = True
--- a/oxbowyard/waiting/job_intake.py
+++ b/oxbowyard/waiting/job_intake.py
@@ -40,6 +40,8 @@
         self._wall_clock = wall_clock
         self._loop = asyncio.get_running_loop()
         self._awaiting_journal: set[asyncio.Future[None]] = set()
+        # Called when the journal records nothing any more: no durable job will be told its end.
+        self.journal_lost_callbacks: list[Callable[[], None]] = []
         self.is_recovering = False  # jobs of an earlier run are still read back
         self.accepted = 0  # since the start, for operators
         self.rejected = 0
@@ -158,3 +160,5 @@
                 retry_after_s = self._settings.full_retry_after_s
                 error = JobRejectedError(RejectionCode.STORE_UNAVAILABLE, text, retry_after_s)
                 recorded.set_exception(error)
+        for callback in self.journal_lost_callbacks:
+            callback()
--- a/oxbowyard/waiting/job_queue.py
+++ b/oxbowyard/waiting/job_queue.py
@@ -88,8 +88,6 @@
             settings, self._policy, self._journal, self._driver, self._watchers, self.ids, clock, wall_clock
         )
         self.adopters: list[Adopter] = []
-        # Called when the journal records nothing any more: no durable job will be told its end.
-        self.journal_lost_callbacks: list[Callable[[], None]] = []
 
     # ---- Submission ----
 
@@ -260,12 +258,6 @@
                 return replace(submission, request=request)
         return submission
 
-    def journal_failed(self, reason: str) -> None:
-        """Nothing more will be recorded: whoever waits for a durable job is told."""
-        self.intake.journal_failed(reason)
-        for callback in self.journal_lost_callbacks:
-            callback()
-
     # ---- Stopping ----
 
     def stop(self) -> None:
