--- a/oxbowyard/core/request.py
+++ b/oxbowyard/core/request.py
@@ -106,9 +106,8 @@
     on_update: Callable[[AttemptUpdate], None] = lambda update: None
     # Loop time until which the last byte may be sent: workers drop a repeat of an earlier attempt until then.
     send_deadline: float = math.inf
-    is_wanted: Callable[[], bool] = lambda: (
-        True
-    )  # whether the request has no answer yet, and was not cancelled
+    # Whether the request has no answer yet, and was not cancelled.
+    is_wanted: Callable[[], bool] = lambda: True
     written: bool = False  # the last byte was handed to the connection: from here on the request may run
 
 
