The soak's audit finds a request that is forgotten on a kept connection

Cause: a client's TimeoutError is an OSError too, and was noted as a close of its connection; on a kept one that excuses a request which no worker saw. Found by reading the change again. Evidence: a stand-in program that answers one request and forgets the next: the audit said nothing before, 'lost request' now.

--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -76,6 +76,9 @@
             connection.requests += 1
             try:
                 await self._send_and_read(connection, exchange)
+            except TimeoutError:  # an OSError too, but the connection was not closed: the request is lost
+                self._drop()
+                return True
             except (OSError, asyncio.IncompleteReadError, ValueError):
                 exchange.closed_at = self._now()
                 self._drop()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -9,6 +10,7 @@
 
 from benchmarks.soak.__main__ import verdict_line
 from benchmarks.soak.audit import audit
+from benchmarks.soak.clients import Client
 from benchmarks.soak.plan import Plan, Semantics, draw
 from benchmarks.soak.records import Arrival, Drain, Exchange, Observation, Process
 from benchmarks.soak.run import Verdict, play
@@ -210,6 +212,38 @@
     assert audit(PLAN, seen) == []
 
 
+def test_a_program_that_forgets_a_request_on_a_kept_connection_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a client's timeout that is taken for a close, which may cross a request.
+    monkeypatch.setattr("benchmarks.soak.clients.LAST_WAIT_S", 0.1)
+    plan = replace(PLAN, leaving_share=0.0, slow_share=0.0)
+    seen = Observation(processes=[process()])
+
+    async def forget_the_second(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"sheet")
+        writer.write(b"HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n")
+        await reader.read()
+
+    async def scene() -> None:
+        server = await asyncio.start_server(forget_the_second, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()[:2]
+        stop = asyncio.Event()
+        client = asyncio.create_task(Client(0, plan, seen, lambda: address, stop).run())
+        async with asyncio.timeout(20.0):
+            while len(seen.exchanges) < 3:
+                await asyncio.sleep(0.01)
+        stop.set()
+        client.cancel()
+        server.close()
+
+    asyncio.run(scene())
+    second = seen.exchanges[1]
+    assert not second.is_first and second.sent_at is not None
+    lost = [violation.text for violation in audit(plan, seen) if violation.rule == "lost request"]
+    assert any(second.id in text for text in lost)
+
+
 def test_a_seed_draws_one_plan_and_others_draw_others() -> None:
     assert draw(7) == draw(7)
     plans = [draw(seed) for seed in range(40)]
