Review case 3: a burst of hand-ins stops all durable jobs, and acknowledged ones get no answer

Cause: the store's writer tries a batch that does not fit into a full store again, whole and for ever (store/writer.py). Hand-ins that nobody was told are taken stand at its head; the releases, grants, answers and ends of acknowledged jobs, some of which would make room, wait behind them.

What it shows: label checks that were acknowledged before another client's 200 hand-ins of 60,000 bytes are neither run nor answered 45 s later, with a patience of 10 s and a deadline of 5 s, while the workers stand idle.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,67 +1,91 @@
-"""After a crash, a Gearman client gets the result of another client's job, under a handle given twice."""
+"""A burst of hand-ins fills the store, and no acknowledged job is run or answered any more."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from gearman_peers import GearmanWorker, ask_status, submit_foreground
-from harness import HOST, TROUBLE, CannotRunError, Stage, free_port, job_class, run_case
+import aiohttp
+from harness import TROUBLE, Client, Scheduler, Stage, job_class, run_case
 
-RUN_S = 5.0
-KILL_AFTER_S = 1.0
-DEADLINE_S = 25.0
+STORE_BYTES = 4 << 20
+JOBS = 3
+DELAY_S = 2.0
+PATIENCE_S = 10.0
+DEADLINE_S = 5.0  # of their class
+JUDGED_AFTER_S = 45.0  # their clients give up after PATIENCE_S + DEADLINE_S
+BURST = 200
+BURST_BODY_BYTES = 60_000  # a body holds 64 KiB at most
+BURST_WITHIN_S = 20.0
 
-GEARMAN = """
-listen = "{host}:{port}"
+OPERATOR = """
+[waiting]
 
-[functions.file_specimen]
-class = "accession"
-deadline_ms = 25000
+[durable]
+path = "{store}"
+max_store_bytes = {bytes}
 """
 
 
 async def play(stage: Stage) -> list[str]:
-    """File one specimen, kill the scheduler meanwhile, and file another with the next process."""
-    fleet = await stage.fleet([], run_s=0.5)
-    port = free_port()
-    lanes = [job_class("preview", 10000.0, "free"), job_class("accession", 25000.0, "single_shot")]
-    scheduler = await stage.scheduler(fleet, lanes, gearman=GEARMAN.format(host=HOST, port=port))
-    worker = GearmanWorker(stage.record, port, "file_specimen", RUN_S)
-    worker.start()
-    try:
-        await asyncio.sleep(0.5)
-        first = asyncio.create_task(
-            submit_foreground(stage.record, port, "file_specimen", "sheet A", DEADLINE_S)
-        )
-        for _ in range(100):
-            if worker.runs:
-                break
-            await asyncio.sleep(0.05)
-        else:
-            raise CannotRunError("the first job did not begin")
-        await asyncio.sleep(KILL_AFTER_S)
+    """Hand in label checks due in 2 s; meanwhile another client hands in hundreds of jobs at once."""
+    fleet = await stage.fleet(["w1", "w2"], run_s=0.3)
+    lanes = [
+        job_class("preview", 10000.0, "free"),
+        job_class("label-check", DEADLINE_S * 1000, "free"),
+        job_class("accession", 25000.0, "single_shot"),
+    ]
+    operator = OPERATOR.format(store=stage.folder / "jobs.db", bytes=STORE_BYTES)
+    scheduler = await stage.scheduler(fleet, lanes, operator)
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        client = Client(stage.record, scheduler, session)
+        job = {"class": "label-check", "delay_s": DELAY_S, "patience_s": PATIENCE_S}
+        jobs = [await client.hand_in({**job, "payload": f"label {n}"}) for n in range(JOBS)]
+        handed_in_at = stage.record.now()
         if TROUBLE:
+            await _burst(stage, scheduler, session)
+        breaks = []
+        for job_id in jobs:
+            left_s = max(handed_in_at + JUDGED_AFTER_S - stage.record.now(), 1.0)
+            view = await client.wait_for_end(job_id, left_s)
+            if view.get("state") != "ended":
+                breaks.append(
+                    f"label check {job_id}, acknowledged, patience {PATIENCE_S:g} s and deadline "
+                    f"{DEADLINE_S:g} s, has no answer after {stage.record.now() - handed_in_at:.0f} s: "
+                    f"state {view.get('state')!r}"
+                )
+        stage.record(f"workers have begun {len(fleet.runs)} jobs")
+        if TROUBLE:  # for the record, not judged
             await scheduler.kill()
             await scheduler.start()
-        next_job = asyncio.create_task(
-            submit_foreground(stage.record, port, "file_specimen", "sheet B", DEADLINE_S)
-        )
-        if TROUBLE:
-            lost = await first
-            await asyncio.sleep(0.5)
-            await ask_status(stage.record, port, lost.handle)  # for the record, not judged
-        second = await next_job
-        await first
-        await asyncio.sleep(1.0)
-    finally:
-        await worker.stop()
-    if second.end == "complete" and second.result != "filed sheet B":
-        return [f"the client of 'sheet B' ({second.handle}) was served with {second.result!r}"]
-    return []
+            await asyncio.sleep(15.0)
+            stage.record(f"workers have begun {len(fleet.runs)} jobs, 15 s after another start")
+    return breaks
+
+
+async def _burst(stage: Stage, scheduler: Scheduler, session: aiohttp.ClientSession) -> None:
+    answers: Counter[str] = Counter()
+
+    async def hand_in() -> None:
+        try:
+            async with (
+                asyncio.timeout(BURST_WITHIN_S),
+                session.post(f"{scheduler.url}/jobs/preview", data=b"x" * BURST_BODY_BYTES) as answer,
+            ):
+                await answer.read()
+                answers[str(answer.status)] += 1
+        except TimeoutError:
+            answers[f"none in {BURST_WITHIN_S:g} s"] += 1
+        except (aiohttp.ClientError, OSError):
+            answers["closed"] += 1
+
+    stage.record(f"other client: {BURST} hand-ins of {BURST_BODY_BYTES} bytes at once")
+    await asyncio.gather(*(hand_in() for _ in range(BURST)))
+    stage.record(f"other client: answers {dict(answers)}")
 
 
 if __name__ == "__main__":
