--- a/benchmarks/crash_points.py
+++ b/benchmarks/crash_points.py
@@ -25,6 +25,7 @@
 from oxbowyard.durable.recovery import Recovery
 from oxbowyard.store.database import Database
 from oxbowyard.waiting.core_submissions import CoreSubmissions
+from oxbowyard.waiting.journal import GrantRecord
 
 from . import crash_worker
 
@@ -67,7 +68,8 @@
     """Send at once and record the grant later: the defect that the audit must find."""
     then()
     loop = submissions._loop
-    loop.call_later(0.03, lambda: submissions._journal.record_grant(job, worker, lease))
+    grant = GrantRecord(worker, lease, job.id, repeat_window_s=0.0, is_repeat=False)
+    loop.call_later(0.03, lambda: submissions._journal.record_grant(job, grant))
 
 
 def send_with_point(
@@ -79,10 +81,10 @@
         then()
         submissions._loop.call_later(0.001, point, "written")
 
-    grant(submissions, job, lease, worker, on_sent)
+    record_lease(submissions, job, lease, worker, on_sent)
 
 
-apply, grant = Database.apply, CoreSubmissions._record_lease
+apply, record_lease = Database.apply, CoreSubmissions._record_lease
 Database.apply = apply_with_points  # type: ignore[method-assign,assignment]
 add_point_before(DurableJournal, "record_grant", "before grant")
 add_point_before(Recovery, "_restore", "recovering")
--- a/oxbowyard/core/admission.py
+++ b/oxbowyard/core/admission.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..decision.settings import JobClass, RetrySafety, Settings
+from ..decision.settings import JobClass, Settings
 from .open_request import OpenRequest
 from .request import Answer, AnswerKind, Request
 
@@ -64,6 +63,8 @@
             repeat_window_s=self._repeat_windows_s.get(request.job_class),
             max_attempts=self._max_attempts,
         )
+        if request.repeat_deadline is not None:
+            entry.record_earlier_run(request.repeat_deadline)
         self._open[request.id] = entry
         self._open_by_class[request.job_class] += 1
         self._idle.clear()
@@ -102,7 +103,5 @@
 
 
 def _repeat_window_s(job_class: JobClass) -> float | None:
-    """Return how long a repeat of a request that may have run is harmless; None if it never is."""
-    if job_class.retry_safety is RetrySafety.DEDUPLICATED and job_class.dedup_scope == "all":
-        return job_class.dedup_window_ms / 1000
-    return math.inf if job_class.retry_safety is RetrySafety.IDEMPOTENT else None
+    window_ms = job_class.repeat_window_ms
+    return None if window_ms is None else window_ms / 1000
--- a/oxbowyard/core/open_request.py
+++ b/oxbowyard/core/open_request.py
@@ -79,6 +79,12 @@
             return False
         return not self.may_have_run or self.repeat_window_s is not None
 
+    def record_earlier_run(self, repeat_deadline: float) -> None:
+        """Record that an earlier request or process sent the work, and that its end was not observed."""
+        self.may_have_run = True
+        self.may_be_running = True
+        self.repeat_deadline = repeat_deadline
+
     def record_outcome(self, attempt: RunningAttempt, result: Result) -> None:
         """Record whether an attempt that ended may have run, or may still be running."""
         if result not in NEVER_RAN and not self.may_have_run:
--- a/oxbowyard/core/request.py
+++ b/oxbowyard/core/request.py
@@ -86,6 +86,9 @@
     # Returns whether the client is still connected; a transport calls it just before it sends the last byte.
     # None if the work is to be done even if the client disconnects.
     client_connected: Callable[[], bool] | None = None
+    # Loop time until which it may be sent, if an earlier request or process sent the same work, whose run may
+    # not have ended; None if none did.
+    repeat_deadline: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/oxbowyard/decision/retry.py
+++ b/oxbowyard/decision/retry.py
@@ -46,6 +46,4 @@
 
 def is_safe_to_retry_anywhere(job_class: JobClass) -> bool:
     """Return whether a client may safely retry a request that may have run, whichever worker gets it."""
-    if job_class.retry_safety is RetrySafety.IDEMPOTENT:
-        return True
-    return job_class.retry_safety is RetrySafety.DEDUPLICATED and job_class.dedup_scope == "all"
+    return job_class.repeat_window_ms is not None
--- a/oxbowyard/decision/settings.py
+++ b/oxbowyard/decision/settings.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+DEDUP_SCOPE_ALL = "all"  # all workers drop a second run
+
 
 class RetrySafety(Enum):
     """Whether a request may run twice."""
@@ -41,6 +43,18 @@
     streaming: bool = False
     is_ordered: bool = False  # requests with the same key run one at a time, in order of arrival
 
+    @property
+    def repeat_window_ms(self) -> float | None:
+        """How long a repeat at any worker does no harm, from the first attempt that may have run.
+
+        Infinite if it never does harm; None if no repeat is harmless, or only at some of the workers.
+        """
+        if self.retry_safety is RetrySafety.IDEMPOTENT:
+            return math.inf
+        if self.retry_safety is RetrySafety.DEDUPLICATED and self.dedup_scope == DEDUP_SCOPE_ALL:
+            return self.dedup_window_ms
+        return None
+
 
 @dataclass(slots=True, frozen=True)
 class Tenant:
--- a/oxbowyard/durable/durable_store.py
+++ b/oxbowyard/durable/durable_store.py
@@ -53,7 +53,7 @@
     def recovery(self, queue: JobQueue, deadlines_s: Mapping[str, float]) -> Recovery:
         """Return the recovery of the jobs of earlier runs; `deadlines_s` are the deadlines by class."""
         self._queue = queue
-        return Recovery(queue, self._writer, deadlines_s, self._settings.read_at_once, self._wall_clock)
+        return Recovery(queue, self._writer, deadlines_s, self._settings.read_at_once, self.journal)
 
     def summary(self) -> str:
         """Summarize the store's health and its commits so far in one line, for the log."""
--- a/oxbowyard/durable/journal.py
+++ b/oxbowyard/durable/journal.py
@@ -9,7 +9,16 @@
 
 from ..core.request import Request, RunState
 from ..store.database import Database
-from ..store.record import JobAccepted, JobEnded, JobStateChanged, Lease, StoredJob, StoredState, StoreError
+from ..store.record import (
+    FirstSend,
+    JobAccepted,
+    JobEnded,
+    JobStateChanged,
+    Lease,
+    StoredJob,
+    StoredState,
+    StoreError,
+)
 from ..store.writer import LOST_STATES, StoreHealth, Writer
 from ..waiting.job import (
     Dependency,
@@ -23,10 +32,11 @@
     RejectionCode,
     StateChanged,
 )
-from ..waiting.journal import JobRecord
+from ..waiting.journal import GrantRecord, JobRecord
 from ..waiting.journal import LeaseTable as LeaseTableProtocol
 from .leases import LeaseTable
-from .recovered_jobs import GRANTED_STATES, indeterminate_reason
+from .machine_clock import MachineClock, first_send_at
+from .recovered_jobs import GRANTED_STATES, first_send_of, indeterminate_reason
 
 T = TypeVar("T")
 QUERY_RETRY_AFTER_S = 1.0
@@ -36,8 +46,9 @@
     StoreHealth.FENCED: "another scheduler has this store",
     StoreHealth.CLOSED: "the store is closed",
 }
-# A granted job that returns to one of these states never ran.
+# A granted job that returns to one of these states, and of which no run is known, never ran.
 NEVER_RAN_STATES = (JobState.SCHEDULED, JobState.READY, JobState.AWAITING_IDLE)
+RECORDS_GRANTS_FIELD = "grants"  # of a stored request; missing in jobs that an earlier release accepted
 
 
 class DurableJournal:
@@ -59,7 +70,9 @@
         self._writer = writer
         self._wall_clock = wall_clock
         self.run_id = run_id
-        self._granted: set[int] = set()  # numbers of jobs with a recorded grant; records their starts too
+        self.machine_clock = MachineClock(wall_clock)
+        # By the number of each job with a recorded grant; None: it must not be sent again.
+        self._granted: dict[int, FirstSend | None] = {}
 
     def rejection_reason(self) -> str:
         """Return why no durable jobs are accepted; empty if they are."""
@@ -71,7 +84,7 @@
 
     # ---- Writing to the store ----
 
-    def record_accepted(self, job: Job, submission: JobSubmission) -> None:
+    def record_accepted(self, job: Job, submission: JobSubmission, records_grants: bool) -> None:
         """Record an accepted job with everything that is needed to restore it."""
         request = submission.request
         assert request is not None
@@ -89,7 +102,7 @@
             wait_for_idle=job.wait_for_idle,
             priority=job.priority,
             dependencies=json.dumps(dependencies).encode(),
-            request=encode_request(request),
+            request=encode_request(request, records_grants),
             payload=request.payload,
         )
         self._writer.put(accepted)
@@ -98,14 +111,14 @@
         """Record a change of an accepted job, if the recovery after a crash depends on it."""
         job = change.job
         if result is not None:
-            self._granted.discard(job.number)
+            self._granted.pop(job.number, None)
             self._writer.put(self._ended_record(job, result))
         elif change.state is JobState.STARTED and job.number in self._granted:
             self._put_state(job, StoredState.STARTED)
         elif change.state is JobState.INDETERMINATE:
             self._put_state(job, StoredState.INDETERMINATE)
-        elif job.number in self._granted and change.state in NEVER_RAN_STATES:
-            self._granted.discard(job.number)
+        elif job.number in self._granted and _never_ran(change):
+            del self._granted[job.number]
             self._put_state(job, StoredState.WAITING)
 
     def _ended_record(self, job: Job, result: JobResult) -> JobEnded:
@@ -123,11 +136,24 @@
     def _put_state(self, job: Job, state: StoredState) -> None:
         self._writer.put(JobStateChanged(job.number, state, job.submission_count))
 
-    def record_grant(self, job: Job, worker: str, lease: str) -> None:
-        """Record that the job is about to be sent to a worker, under this lease."""
-        self._granted.add(job.number)
-        granted = Lease(lease, worker, self._wall_clock())
-        self._writer.put(JobStateChanged(job.number, StoredState.GRANTED, job.submission_count, granted))
+    def record_grant(self, job: Job, grant: GrantRecord) -> None:
+        """Record that the job is about to be sent to a worker, and when it was first sent."""
+        now = self.machine_clock.now()
+        first_send = self._granted.get(job.number) if grant.is_repeat else None
+        if not grant.is_repeat:
+            first_send = first_send_at(now, grant.repeat_window_s, grant.request_id)
+        self._granted[job.number] = first_send
+        lease = Lease(grant.lease, grant.worker, now.unix_s, first_send)
+        self._writer.put(JobStateChanged(job.number, StoredState.GRANTED, job.submission_count, lease))
+
+    def restore_grant(self, number: int, first_send: FirstSend | None) -> None:
+        """Note a job of an earlier run that may have run, so that a proof that it did not is recorded."""
+        self._granted[number] = first_send
+
+    def record_unrecorded_sends(self, stored: StoredJob) -> None:
+        """Record that from now on the job may be sent without a recorded grant, as its class allows now."""
+        changed = JobStateChanged(stored.accepted.number, StoredState.SUBMITTED, stored.submission_count)
+        self._writer.put(changed)
 
     def when_durable(self, callback: Callable[[], None]) -> None:
         """Call back after everything that was recorded so far is committed; never if that fails for good."""
@@ -170,14 +196,23 @@
     return (stored, False) if stored else None
 
 
-def encode_request(request: Request) -> bytes:
-    """Encode the fields of a request that are not stored in columns of their own."""
-    fields = {
+def _never_ran(change: StateChanged) -> bool:
+    return change.state in NEVER_RAN_STATES and change.job.run_state is RunState.NEVER_RAN
+
+
+def encode_request(request: Request, records_grants: bool | None = None) -> bytes:
+    """Encode the fields of a request that are not stored in columns of their own.
+
+    `records_grants` says whether each send of the job is recorded first; None: as an earlier release had it.
+    """
+    fields: dict[str, object] = {
         "target": request.target,
         "key": request.key,
         "slots": request.slots,
         "extras": dict(request.extras),
     }
+    if records_grants is not None:
+        fields[RECORDS_GRANTS_FIELD] = records_grants
     return json.dumps(fields).encode()
 
 
@@ -199,6 +234,14 @@
     )
 
 
+def decode_records_grants(stored: StoredJob) -> bool | None:
+    """Return whether each send of a stored job is recorded first; None if an earlier release accepted it."""
+    if stored.state is StoredState.SUBMITTED:
+        return False
+    records_grants: bool | None = json.loads(stored.accepted.request).get(RECORDS_GRANTS_FIELD)
+    return records_grants
+
+
 def decode_dependencies(stored: StoredJob) -> list[Dependency]:
     """Decode the dependencies of a stored job."""
     rows = json.loads(stored.accepted.dependencies)
@@ -211,9 +254,12 @@
     ended = stored.ended
     if ended is None:
         if stored.state in GRANTED_STATES:
-            job.state = JobState.INDETERMINATE
             job.run_state = RunState.MAY_BE_RUNNING
-            job.reason = indeterminate_reason(stored.lease)
+            if first_send_of(stored) is not None:
+                job.state = JobState.SUBMITTED
+            else:
+                job.state = JobState.INDETERMINATE
+                job.reason = indeterminate_reason(stored.lease)
         return JobRecord(job, None, by_idempotency_key)
     job.state = JobState.ENDED
     job.outcome = JobOutcome(ended.outcome)
--- a/oxbowyard/durable/recovery.py
+++ b/oxbowyard/durable/recovery.py
@@ -12,20 +12,33 @@
 from ..store.database import Database
 from ..store.record import FINAL_FAILURES, JobEnded, StoredJob, StoreError
 from ..store.writer import LOST_STATES, Writer
-from ..waiting.job import JobSubmission
+from ..waiting.grants import RepeatLimit
+from ..waiting.job import Dependency, JobSubmission, RestoredJob
 from ..waiting.job_queue import JobQueue
-from .journal import decode_dependencies, decode_request
-from .recovered_jobs import RecoveredState, UnresolvedDependency, recovered_state
+from .journal import DurableJournal, decode_dependencies, decode_records_grants, decode_request
+from .recovered_jobs import RecoveredState, RecoveryContext, UnresolvedDependency, recovered_state
 
 log = logging.getLogger("oxbowyard.durable")
 
 QUEUE_FULL_RETRY_S = 0.1  # between checks whether the queue has room for more jobs
 READ_RETRY_INTERVAL_S = 0.5  # after a read that failed on the disk
 
-Page = list[tuple[StoredJob, RecoveredState]]
 T = TypeVar("T")
 
 
+@dataclass(slots=True, frozen=True)
+class FoundJob:
+    """A job that has not ended, with the outcomes of its dependencies when it was read."""
+
+    stored: StoredJob
+    dependencies: list[Dependency]
+    outcomes: dict[str, JobEnded | UnresolvedDependency]  # by job id
+
+    def find_outcome(self, id_: str) -> JobEnded | UnresolvedDependency:
+        """Return the outcome of a dependency."""
+        return self.outcomes[id_]
+
+
 @dataclass(slots=True)
 class RecoveryCounts:
     """Counters of the jobs of earlier runs, by how they were restored."""
@@ -48,14 +61,14 @@
         writer: Writer,
         deadlines_s: Mapping[str, float],
         page_size: int,
-        wall_clock: Callable[[], float] = time.time,
+        journal: DurableJournal,
     ) -> None:
-        """`deadlines_s` are the deadlines by class; `wall_clock` is Unix time in seconds."""
+        """`deadlines_s` are the deadlines by class."""
         self._queue = queue
         self._writer = writer
+        self._journal = journal
         self._deadlines_s = deadlines_s
         self._page_size = page_size
-        self._wall_clock = wall_clock
         self.counts = RecoveryCounts()
         queue.intake.is_recovering = True
 
@@ -74,9 +87,9 @@
         after = 0
         last = await self._read(lambda database: database.last_number())
         while page := await self._read_page(after, last):
-            after = page[-1][0].accepted.number
-            for stored, state in page:
-                self._restore(stored, state)
+            after = page[-1].stored.accepted.number
+            for found in page:
+                self._restore(found)
             await asyncio.sleep(0)
             while self._queue.held.jobs >= self._queue.settings.max_jobs:
                 await asyncio.sleep(QUEUE_FULL_RETRY_S)
@@ -94,13 +107,11 @@
                 duration_s,
             )
 
-    async def _read_page(self, after: int, last: int) -> Page:
-        now = self._wall_clock()
-
-        def read(database: Database) -> Page:
+    async def _read_page(self, after: int, last: int) -> list[FoundJob]:
+        def read(database: Database) -> list[FoundJob]:
             jobs = database.unfinished_jobs(after, self._page_size)
             earlier = [stored for stored in jobs if stored.accepted.number <= last]
-            return [(stored, _recovered_state(database, stored, now)) for stored in earlier]
+            return [_find_dependencies(database, stored) for stored in earlier]
 
         return await self._read(read)
 
@@ -115,7 +126,8 @@
                 log.warning("recovery of earlier jobs delayed: %s", error)
             await asyncio.sleep(READ_RETRY_INTERVAL_S)
 
-    def _restore(self, stored: StoredJob, state: RecoveredState) -> None:
+    def _restore(self, found: FoundJob) -> None:
+        stored = found.stored
         accepted = stored.accepted
         deadline_s = self._deadlines_s.get(accepted.job_class)
         if deadline_s is None:  # the class was removed from the settings, and may be added again
@@ -124,22 +136,54 @@
                 "job left in the store, unknown class: job=%s class=%s", accepted.id, accepted.job_class
             )
             return
-        lease = stored.lease.token if stored.lease else ""
+        if self._queue.find(accepted.id) is not None:
+            return
+        state = self._recovered_state(found)
+        self._restore_grant_records(stored, state)
         failed = state.failed_dependency
         failure = f"{failed} has ended, or is no longer known" if failed else ""
-        submission = _submission(stored, state, deadline_s)
-        reason = state.indeterminate_reason
-        self._queue.restore(submission, accepted.number, stored.submission_count, lease, reason, failure)
+        restored = RestoredJob(
+            _submission(stored, state, deadline_s),
+            accepted.number,
+            stored.submission_count,
+            state.indeterminate_reason,
+            failure,
+        )
+        lease = stored.lease.token if stored.lease else ""
+        self._queue.restore(restored, lease, _repeat_limit(state))
         if failed:
             self.counts.dependency_failed += 1
-        elif reason:
+        elif state.indeterminate_reason:
             self.counts.indeterminate += 1
-            log.warning(
-                "job indeterminate: job=%s class=%s reason=%s", accepted.id, accepted.job_class, reason
-            )
         else:
             self.counts.resumed += 1
 
+    def _recovered_state(self, found: FoundJob) -> RecoveredState:
+        stored = found.stored
+        context = RecoveryContext(
+            self._journal.machine_clock.now(),
+            self._queue.repeat_rules.window_s(stored.accepted.job_class),
+            decode_records_grants(stored),
+        )
+        return recovered_state(stored, found.dependencies, found.find_outcome, context)
+
+    def _restore_grant_records(self, stored: StoredJob, state: RecoveredState) -> None:
+        """Bring the journal's record of the job's grants in line with the settings of this run."""
+        job_class = stored.accepted.job_class
+        if state.first_send is not None or state.indeterminate_reason:
+            self._journal.restore_grant(stored.accepted.number, state.first_send)
+        elif (
+            not self._queue.repeat_rules.needs_grant(job_class) and decode_records_grants(stored) is not False
+        ):
+            self._journal.record_unrecorded_sends(stored)
+
+
+def _repeat_limit(state: RecoveredState) -> RepeatLimit | None:
+    if state.first_send is None:
+        return None
+    deadline_s = asyncio.get_running_loop().time() + state.repeat_s
+    return RepeatLimit(deadline_s, state.first_send.request_id)
+
 
 def _submission(stored: StoredJob, state: RecoveredState, deadline_s: float) -> JobSubmission:
     accepted = stored.accepted
@@ -160,11 +204,14 @@
     )
 
 
-def _recovered_state(database: Database, stored: StoredJob, now: float) -> RecoveredState:
-    def find_outcome(id_: str) -> JobEnded | UnresolvedDependency:
-        found = database.find(id_)
-        if found is None:
-            return UnresolvedDependency.UNKNOWN
-        return found.ended or UnresolvedDependency.OPEN
+def _find_dependencies(database: Database, stored: StoredJob) -> FoundJob:
+    dependencies = decode_dependencies(stored)
+    outcomes = {dependency.id: _find_outcome(database, dependency.id) for dependency in dependencies}
+    return FoundJob(stored, dependencies, outcomes)
+
 
-    return recovered_state(stored, decode_dependencies(stored), find_outcome, now)
+def _find_outcome(database: Database, id_: str) -> JobEnded | UnresolvedDependency:
+    found = database.find(id_)
+    if found is None:
+        return UnresolvedDependency.UNKNOWN
+    return found.ended or UnresolvedDependency.OPEN
--- a/oxbowyard/store/database.py
+++ b/oxbowyard/store/database.py
@@ -156,12 +156,12 @@
             case JobAccepted():
                 self._db.execute(schema.INSERT_JOB, schema.accepted_row(change))
             case JobStateChanged(lease=None, state=StoredState.STARTED | StoredState.INDETERMINATE):
-                values = (change.state.value, change.submission_count, change.number)
-                self._db.execute(schema.UPDATE_STATE_KEEP_LEASE, values)
+                kept = (change.state.value, change.submission_count, change.number)
+                self._db.execute(schema.UPDATE_STATE_KEEP_LEASE, kept)
             case JobStateChanged(lease=lease):
-                lease_values = (lease.token, lease.worker, lease.granted_at) if lease else (None, None, None)
                 state = (change.state.value, change.submission_count)
-                self._db.execute(schema.UPDATE_STATE, (*state, *lease_values, change.number))
+                values = (*state, *schema.lease_values(lease), change.number)
+                self._db.execute(schema.UPDATE_STATE, values)
             case JobEnded():
                 self._end_job(change)
 
--- a/oxbowyard/store/record.py
+++ b/oxbowyard/store/record.py
@@ -12,14 +12,25 @@
 class StoredState(Enum):
     """The last recorded state of a job."""
 
-    WAITING = "waiting"  # waits for its dependencies, its start time or its turn; it never ran
-    SUBMITTED = "asked"  # submitted to the core; without a grant it never ran
+    WAITING = "waiting"  # waits for its dependencies, its start time or its turn; no grant is recorded
+    SUBMITTED = "asked"  # as WAITING, and from now on it may be sent without a recorded grant
     GRANTED = "granted"  # a worker may have received it; from here on it may have run
     STARTED = "started"  # a worker reported its start
     INDETERMINATE = "doubt"  # it may have run, and its outcome is unknown
     ENDED = "ended"
 
 
+@dataclass(slots=True, frozen=True)
+class FirstSend:
+    """The first time that a job was sent and may have run, if workers drop a repeat for a while after it."""
+
+    unix_s: float
+    uptime_s: float  # of the machine; steps of the system's clock do not change it
+    boot_id: str  # names the machine's start from which `uptime_s` counts; empty: unknown
+    repeat_window_s: float  # how long a repeat was harmless by the settings of that time
+    request_id: str  # under which it was sent
+
+
 @dataclass(slots=True, frozen=True)
 class Lease:
     """A grant of a job to a worker. A late result must carry its token."""
@@ -27,6 +38,7 @@
     token: str
     worker: str
     granted_at: float
+    first_send: FirstSend | None = None  # None: the job must not be sent again
 
 
 @dataclass(slots=True, frozen=True)
--- a/oxbowyard/store/schema.py
+++ b/oxbowyard/store/schema.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Sequence
+from dataclasses import asdict
 from typing import Any
 
-from .record import JobAccepted, JobEnded, Lease, StoredJob, StoredState
+from .record import FirstSend, JobAccepted, JobEnded, Lease, StoredJob, StoredState
 
 APPLICATION_ID = 0x6F786279  # "oxby", which identifies the program's files
 SCHEMA_VERSION = 2
@@ -31,14 +33,15 @@
 # The columns have the names of the first release, because stores of it exist; `record` has the current terms.
 # `token` is the idempotency key, `print` the fingerprint, `patience` the maximum wait, `quiet` waiting for an
 # idle fleet, `lift` the priority, `parents` the dependencies, `req` the request, `kept` the state, `asks` the
-# number of submissions, `ran` the run state, `backend` the worker and `lease` the lease's token.
+# number of submissions, `ran` the run state, `backend` the worker and `lease` the lease's token. `reason` is
+# that of the end. Before the end it holds the first send as JSON, so that the form of the file is the same.
 COLUMNS = (
     "number, id, job_class, tenant, token, print, taken_at, patience, delay, quiet, lift, parents, req, "
     "payload, kept, asks, lease, backend, granted_at, end, ran, reason, result, retry_after, ended_at, "
     "resolved_by"
 )
 INSERT_JOB = f"INSERT INTO jobs ({COLUMNS}) VALUES ({', '.join('?' * 16)}{', NULL' * 10})"
-UPDATE_STATE = """UPDATE jobs SET kept = ?, asks = ?, lease = ?, backend = ?, granted_at = ?
+UPDATE_STATE = """UPDATE jobs SET kept = ?, asks = ?, lease = ?, backend = ?, granted_at = ?, reason = ?
     WHERE number = ? AND kept != 'ended'"""
 UPDATE_STATE_KEEP_LEASE = "UPDATE jobs SET kept = ?, asks = ? WHERE number = ? AND kept != 'ended'"
 END_JOB = """UPDATE jobs SET kept = 'ended', end = ?, ran = ?, reason = ?, result = ?, retry_after = ?,
@@ -78,6 +81,18 @@
     )
 
 
+def lease_values(lease: Lease | None) -> tuple[object, ...]:
+    """Return the values for the lease in `UPDATE_STATE`."""
+    if lease is None:
+        return (None, None, None, None)
+    first_send = json.dumps(asdict(lease.first_send)) if lease.first_send else None
+    return (lease.token, lease.worker, lease.granted_at, first_send)
+
+
+def _decode_first_send(text: str | None) -> FirstSend | None:
+    return FirstSend(**json.loads(text)) if text else None
+
+
 def stored_job(row: Sequence[Any]) -> StoredJob:
     """Convert a row with the columns of `COLUMNS` to a record."""
     accepted_fields: tuple[Any, ...] = (*row[:9], bool(row[9]), *row[10:14])
@@ -87,5 +102,6 @@
     if state == StoredState.ENDED.value:
         ended_fields: tuple[Any, ...] = (accepted.number, *row[19:25], row[25] or "")
         ended = JobEnded(*ended_fields)
-    lease = Lease(token, worker, granted_at) if token is not None else None
+    first_send = _decode_first_send(row[21]) if ended is None else None
+    lease = Lease(token, worker, granted_at, first_send) if token is not None else None
     return StoredJob(accepted, StoredState(state), submission_count, lease, ended)
--- a/oxbowyard/waiting/acceptance.py
+++ b/oxbowyard/waiting/acceptance.py
@@ -4,10 +4,20 @@
 
 from collections.abc import Sequence
 
+from ..core.request import RunState
 from .dependencies import topological_order
 from .held_jobs import check_submissions, queue_full_error
-from .job import Job, JobOutcome, JobRejectedError, JobState, JobSubmission, RejectionCode, StateChanged
-from .policy_state import PolicyState, end_job, mark_indeterminate, set_timer, unblock
+from .job import (
+    Job,
+    JobOutcome,
+    JobRejectedError,
+    JobState,
+    JobSubmission,
+    RejectionCode,
+    RestoredJob,
+    StateChanged,
+)
+from .policy_state import PolicyState, end_job, expire, mark_indeterminate, set_timer, unblock
 
 
 def find_repeated(state: PolicyState, submissions: Sequence[JobSubmission]) -> list[Job]:
@@ -48,42 +58,28 @@
     return [accepted[submission.id] for submission in submissions]
 
 
-def restore_job(
-    state: PolicyState,
-    now: float,
-    submission: JobSubmission,
-    number: int,
-    submission_count: int,
-    failure: str,
-) -> Job:
-    """Restore a job that never ran, with its remaining wait and delay.
+def restore_job(state: PolicyState, now: float, restored: RestoredJob) -> Job:
+    """Restore a job of an earlier run, with its remaining wait and delay.
 
-    The submission names only the dependencies that have not ended; `failure` says which other one did not end
-    as required. No limits are checked, because the job was accepted before. A job without any wait left ends
-    as expired.
+    No limits are checked, because the job was accepted before. A job without any wait left ends as expired,
+    or is indeterminate if it may have run.
     """
-    job = _add_job(state, now, submission, number, 0)
-    job.submission_count = submission_count
-    if failure:
-        end_job(state, job, now, JobOutcome.DEPENDENCY_FAILED, failure)
-    elif job.wait_deadline_ms <= now:
-        reason = "its patience for waiting was over before the restart"
-        end_job(state, job, now, JobOutcome.WAIT_EXPIRED, reason)
+    job = _add_job(state, now, restored.submission, restored.number, 0)
+    job.submission_count = restored.submission_count
+    if restored.repeat_deadline_ms is not None:
+        job.run_state = RunState.MAY_BE_RUNNING
+        job.repeat_deadline_ms = restored.repeat_deadline_ms
+    if restored.indeterminate_reason:
+        mark_indeterminate(state, job, restored.indeterminate_reason)
+    elif restored.dependency_failure:
+        end_job(state, job, now, JobOutcome.DEPENDENCY_FAILED, restored.dependency_failure)
+    elif job.release_deadline_ms <= now:
+        expire(state, job, now, "its patience for waiting was over before the restart")
     else:
         _begin_waiting(state, job, now)
     return job
 
 
-def restore_indeterminate_job(
-    state: PolicyState, now: float, submission: JobSubmission, number: int, submission_count: int, reason: str
-) -> Job:
-    """Restore a job that may have run and whose outcome was never reported."""
-    job = _add_job(state, now, submission, number, 0)
-    job.submission_count = submission_count
-    mark_indeterminate(state, job, reason)
-    return job
-
-
 def _begin_waiting(state: PolicyState, job: Job, now: float) -> None:
     if job.pending_dependencies:
         set_timer(state, job, job.wait_deadline_ms)
--- a/oxbowyard/waiting/core_submissions.py
+++ b/oxbowyard/waiting/core_submissions.py
@@ -1,23 +1,26 @@
 """Submits released jobs to the core as ordinary requests, and passes their answers back to the policy.
 
-A job that must not run twice is granted to a worker with a lease, which is recorded before the last byte of
-the job is sent. If the worker sends nothing for longer than the lease, the request is cancelled.
+A job whose repeat may do harm is granted to a worker with a lease, which is recorded before the last byte of
+the job is sent. If the worker sends nothing for longer than the lease, the request is cancelled. A job that
+may have run is submitted again only until its repeat limit.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import math
 import secrets
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from functools import partial
 
 from ..core.request import Answer, AnswerKind, AttemptUpdate, Request, RunState
 from ..core.scheduler import Scheduler
 from ..decision.settings import JobClass
+from .grants import MS_PER_S, Grants, RepeatLimit, RepeatRules
 from .job import Job, JobOutcome
-from .journal import JobJournal
+from .journal import GrantRecord, JobJournal
 from .lease_watch import LeaseWatch
 from .policy import WaitingPolicy
 from .settings import WaitingSettings
@@ -38,6 +41,7 @@
     """A job that was submitted to the core, or is about to be."""
 
     request_id: str
+    is_repeat: bool  # an earlier submission may have run
     task: asyncio.Task[Answer] | None = None  # None until the journal has recorded the release
     submitted_at_ms: float = 0.0
     run_state_at_cancel: RunState | None = None  # None: not cancelled
@@ -71,7 +75,7 @@
         scheduler: Scheduler,
         journal: JobJournal,
         classes: Mapping[str, JobClass],
-        non_repeatable_classes: Collection[str],
+        rules: RepeatRules,
         clock: Callable[[], float],
         drive: Callable[[float], None],
     ) -> None:
@@ -81,13 +85,12 @@
         self._scheduler = scheduler
         self._journal = journal
         self._classes = classes
-        self._non_repeatable_classes = non_repeatable_classes
+        self._rules = rules
         self._clock = clock
         self._drive = drive
         self._loop = asyncio.get_running_loop()
         self._submissions: dict[str, _Submission] = {}  # by job id
-        self._leases: dict[str, str] = {}  # the latest lease token of each granted job, by job id
-        self._granted_to: dict[str, str] = {}  # worker by job id
+        self.grants = Grants()
         self._lease_watch = LeaseWatch(journal.leases, clock, self._expire_lease)
         self.answers: dict[str, WorkerAnswer] = {}  # of jobs that are about to end, by job id
         self.is_stopping = False
@@ -97,7 +100,7 @@
 
     def submit(self, job: Job, job_class: str) -> None:
         """Submit a released job in this class, a durable one once the journal has recorded its release."""
-        self._submissions.setdefault(job.id, _Submission(job.id))  # it exists if the job was cancelled
+        self._submission(job.id)
         send = partial(self._send, job, job_class)
         if job.durable:
             self._journal.when_durable(send)
@@ -106,28 +109,22 @@
 
     def cancel(self, job_id: str) -> None:
         """Cancel a released job, which may have run."""
-        submission = self._submissions.setdefault(job_id, _Submission(job_id))
+        submission = self._submission(job_id)
         if submission.run_state_at_cancel is None:
             self._cancel(submission)
 
+    def _submission(self, job_id: str) -> _Submission:
+        """Return the submission of a job, which exists before its release if the job was cancelled."""
+        submission = self._submissions.get(job_id)
+        if submission is None:
+            is_repeat = self.grants.repeat_limit(job_id) is not None
+            submission = self._submissions[job_id] = _Submission(job_id, is_repeat)
+        return submission
+
     def has_running_tasks(self) -> bool:
         """Return whether the core is processing any job's request."""
         return any(submission.task is not None for submission in self._submissions.values())
 
-    def is_current_lease(self, job_id: str, lease: str) -> bool:
-        """Return whether this is the latest lease of the job."""
-        known = self._leases.get(job_id, "")
-        return bool(lease) and secrets.compare_digest(known.encode(), lease.encode())
-
-    def restore_lease(self, job_id: str, lease: str) -> None:
-        """Set the lease of a job from an earlier run of the program."""
-        self._leases[job_id] = lease
-
-    def discard_lease(self, job_id: str) -> None:
-        """Discard the lease of a job that has ended."""
-        self._leases.pop(job_id, None)
-        self._granted_to.pop(job_id, None)
-
     # ---- Life cycle of a request ----
 
     def _send(self, job: Job, job_class: str) -> None:
@@ -139,18 +136,21 @@
         submission.submitted_at_ms = self._clock()
         self.counts.released += 1
         self.counts.resubmitted += job.submission_count > 1
-        if job.submission_count > 1:  # a new request id, as from a client that retries; the job never ran
+        repeat = self.grants.repeat_limit(job.id)
+        if repeat is not None:
+            submission.request_id = repeat.request_id
+        elif job.submission_count > 1:  # a new request id, as from a client that retries; the job never ran
             submission.request_id = f"{job.id}~{self._journal.run_id}{job.submission_count}"
-        request = self._request(job, job_class, submission.request_id)
+        request = self._request(job, job_class, submission.request_id, repeat)
         submission.task = self._loop.create_task(self._scheduler.serve(request))
         submission.task.add_done_callback(partial(self._on_answer, job))
         if submission.run_state_at_cancel is not None:  # cancelled while the journal recorded the release
             submission.task.cancel()
 
-    def _request(self, job: Job, job_class: str, request_id: str) -> Request:
+    def _request(self, job: Job, job_class: str, request_id: str, repeat: RepeatLimit | None) -> Request:
         request = job.request
         assert request is not None
-        needs_lease = self._is_non_repeatable(job)
+        needs_lease = self._needs_grant(job)
         lease = secrets.token_hex(LEASE_TOKEN_BYTES) if needs_lease else ""
         class_deadline_s = self._classes[job.job_class].deadline_ms / 1000
         return replace(
@@ -161,21 +161,30 @@
             timeout_s=min(request.timeout_s, class_deadline_s),
             is_retry=job.submission_count > 1,
             lease=lease,
+            repeat_deadline=repeat.deadline_s if repeat is not None else None,
             record_lease=partial(self._record_lease, job, lease) if needs_lease else None,
             on_running=partial(self._on_running, job, request.on_running),
             on_update=partial(self._on_update, job, request.on_update),
             on_answer=partial(_mark_answered, self._submissions[job.id]),
         )
 
-    def _is_non_repeatable(self, job: Job) -> bool:
-        return job.durable and job.job_class in self._non_repeatable_classes
+    def _needs_grant(self, job: Job) -> bool:
+        return job.durable and self._rules.needs_grant(job.job_class)
 
     def _record_lease(self, job: Job, lease: str, worker: str, then: Callable[[], None]) -> None:
-        """Record the lease before a worker gets a job that must not run twice, then call `then`."""
-        self._leases[job.id] = lease
-        self._granted_to[job.id] = worker
+        """Record the lease before a worker gets a job whose repeat may do harm, then call `then`."""
+        submission = self._submissions.get(job.id)
+        if submission is None:  # the request is over, and its transport finds so before it sends
+            then()
+            return
+        request_id = submission.request_id
+        window_s = self._rules.window_s(job.job_class)
+        is_repeat = self._scheduler.run_state(request_id) is not RunState.NEVER_RAN
+        grant = self.grants.record(job.id, worker, lease)
+        if not is_repeat:
+            grant.repeat = RepeatLimit(self._loop.time() + window_s, request_id)
         self._lease_watch.begin(job.id)
-        self._journal.record_grant(job, worker, lease)
+        self._journal.record_grant(job, GrantRecord(worker, lease, request_id, window_s, is_repeat))
         self._journal.when_durable(then)
 
     def _on_running(self, job: Job, notify: Callable[[bool], None] | None, is_running: bool) -> None:
@@ -212,36 +221,49 @@
             run_state = RunState.MAY_BE_RUNNING
             self._policy.job_ended(now, job, JobOutcome.FAILED, run_state, "internal fault")
         else:
-            self._apply_answer(job, task.result(), now)
+            self._apply_answer(job, task.result(), submission.is_repeat, now)
         self._drive(now)
 
-    def _apply_answer(self, job: Job, answer: Answer, now: float) -> None:
-        never_ran = answer.run_state is RunState.NEVER_RAN
-        if answer.kind is AnswerKind.REJECTED and never_ran:
+    def _apply_answer(self, job: Job, answer: Answer, is_repeat: bool, now: float) -> None:
+        run_state = answer.run_state
+        if is_repeat and run_state is RunState.NEVER_RAN:  # the core did not admit the request
+            run_state = RunState.MAY_BE_RUNNING
+        is_rejected = answer.kind is AnswerKind.REJECTED
+        if is_rejected and run_state is RunState.NEVER_RAN:
             self._apply_rejection(job, answer, now)
             return
-        may_be_running = answer.run_state is RunState.MAY_BE_RUNNING
-        if self._is_non_repeatable(job) and may_be_running and answer.kind is AnswerKind.FAILED:
-            self._mark_indeterminate(job, answer.reason, now)
-            return
+        if self._needs_grant(job) and run_state is RunState.MAY_BE_RUNNING:
+            if is_rejected:
+                self._interrupt(job, answer.reason, now)
+                return
+            if answer.kind is AnswerKind.FAILED:  # the core makes no further attempt
+                self._policy.job_interrupted(now, job, now, self._unknown_outcome_reason(job, answer.reason))
+                return
         self.answers[job.id] = WorkerAnswer(answer.body, answer.retry_after_s)
         outcome = OUTCOME_BY_ANSWER_KIND[answer.kind]
-        result_bytes = len(answer.body)
-        self._policy.job_ended(now, job, outcome, answer.run_state, answer.reason, result_bytes)
+        self._policy.job_ended(now, job, outcome, run_state, answer.reason, len(answer.body))
 
     def _apply_rejection(self, job: Job, answer: Answer, now: float) -> None:
+        self.grants.clear_run(job.id)
         may_retry = self._settings.for_class(job.job_class).queueing
         self.answers[job.id] = WorkerAnswer(retry_after_s=answer.retry_after_s)  # used if the job ends
         self._policy.job_rejected(now, job, answer.retry_after_s * 1000, may_retry)
         if job.outcome is None:
             del self.answers[job.id]
 
-    def _mark_indeterminate(self, job: Job, why: str, now: float) -> None:
-        """Mark a job whose outcome is unknown; the reason helps an operator to find the outcome out."""
-        worker = self._granted_to.get(job.id, "a worker")
-        reason = f"{why}; it was with {worker}, and its end is not known: look whether it was done"
-        log.warning("job indeterminate: job=%s class=%s reason=%s", job.id, job.job_class, reason)
-        self._policy.job_indeterminate(now, job, reason)
+    def _interrupt(self, job: Job, why: str, now: float) -> None:
+        """Let a job that may have run be repeated while that is harmless; afterwards it is indeterminate."""
+        deadline_ms = math.inf
+        if self._rules.needs_grant(job.job_class):
+            repeat = self.grants.repeat_limit(job.id)
+            left_s = repeat.deadline_s - self._loop.time() if repeat is not None else 0.0
+            deadline_ms = now + left_s * MS_PER_S
+        self._policy.job_interrupted(now, job, deadline_ms, self._unknown_outcome_reason(job, why))
+
+    def _unknown_outcome_reason(self, job: Job, why: str) -> str:
+        """Return the reason of an indeterminate job, which helps an operator to find its outcome out."""
+        worker = self.grants.worker(job.id) or "a worker"
+        return f"{why}; it was with {worker}, and its end is not known: look whether it was done"
 
     # ---- Leases ----
 
@@ -254,16 +276,19 @@
         self._cancel(submission)
 
     def _on_lease_expired(self, job: Job, run_state: RunState, now: float) -> None:
-        """Mark a job as indeterminate if it may have run and must not run twice, else retry it."""
-        if run_state is not RunState.NEVER_RAN and job.job_class in self._non_repeatable_classes:
-            self._mark_indeterminate(job, "its worker was silent for longer than its lease", now)
-        else:
+        if run_state is RunState.NEVER_RAN:
+            self.grants.clear_run(job.id)
             self._policy.job_rejected(now, job, 0.0, may_retry=True)
+        else:
+            self._interrupt(job, "its worker was silent for longer than its lease", now)
 
     def _cancel(self, submission: _Submission) -> None:
         if submission.is_answered:
             return
-        submission.run_state_at_cancel = self._scheduler.run_state(submission.request_id)
+        run_state = self._scheduler.run_state(submission.request_id)
+        if submission.is_repeat and run_state is RunState.NEVER_RAN:  # the core has not admitted the request
+            run_state = RunState.MAY_BE_RUNNING
+        submission.run_state_at_cancel = run_state
         if submission.task is not None:
             submission.task.cancel()
 
--- a/oxbowyard/waiting/job.py
+++ b/oxbowyard/waiting/job.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -115,6 +116,21 @@
     request: Request | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class RestoredJob:
+    """A job of an earlier run that has not ended, as the recovery passes it to the policy.
+
+    The submission has the remaining wait and delay, and the dependencies that are not known to be satisfied.
+    """
+
+    submission: JobSubmission
+    number: int
+    submission_count: int
+    indeterminate_reason: str = ""  # why it may have run and must not be repeated; empty: it may be released
+    dependency_failure: str = ""  # which dependency did not end as required; empty: none
+    repeat_deadline_ms: float | None = None  # until when it may be repeated; None: it never ran
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """One job and its state in the policy, from acceptance to purging."""
@@ -144,6 +160,18 @@
     outcome: JobOutcome | None = None
     run_state: RunState = RunState.NEVER_RAN
     reason: str = ""
+    # Until when a repeat of a job that may have run is harmless; infinite if it never ran, or always may.
+    repeat_deadline_ms: float = math.inf
+
+    @property
+    def release_deadline_ms(self) -> float:
+        """Return until when it may be released: no longer than it may wait, or may be repeated."""
+        return min(self.wait_deadline_ms, self.repeat_deadline_ms)
+
+    @property
+    def has_unknown_outcome(self) -> bool:
+        """Return whether it may have run, and its end needs proof because it can't always be repeated."""
+        return self.run_state is not RunState.NEVER_RAN and self.repeat_deadline_ms < math.inf
 
     @property
     def is_waiting(self) -> bool:
--- a/oxbowyard/waiting/job_intake.py
+++ b/oxbowyard/waiting/job_intake.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from ..core.request import Request
+from .grants import RepeatRules
 from .job import Job, JobRejectedError, JobSubmission, RejectionCode, WaitOptions
 from .job_ids import JobIds
 from .journal import JobJournal, JobRecord
@@ -26,6 +27,7 @@
         driver: PolicyDriver,
         watchers: ResultWatchers,
         ids: JobIds,
+        rules: RepeatRules,
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
     ) -> None:
@@ -36,6 +38,7 @@
         self._driver = driver
         self._watchers = watchers
         self._ids = ids
+        self._rules = rules
         self._clock = clock
         self._wall_clock = wall_clock
         self._loop = asyncio.get_running_loop()
@@ -63,7 +66,7 @@
             raise
         for job, submission in zip(accepted, submissions, strict=True):
             if job.durable and job.number > last_number:  # a repeated submission is recorded already
-                self._journal.record_accepted(job, submission)
+                self._journal.record_accepted(job, submission, self._rules.needs_grant(job.job_class))
             if on_end is not None and job.outcome is None and not self._watchers.has_callback(job.id):
                 self._watchers.set_callback(job.id, on_end)
         self.accepted += len(accepted)
--- a/oxbowyard/waiting/job_queue.py
+++ b/oxbowyard/waiting/job_queue.py
@@ -16,9 +16,10 @@
 
 from ..core.request import Answer, AnswerKind, Request, RunState
 from ..core.scheduler import Scheduler
-from ..decision.settings import JobClass, RetrySafety
+from ..decision.settings import JobClass
 from .core_submissions import CoreSubmissions, WorkerAnswer
 from .fleet_view import FleetView
+from .grants import MS_PER_S, RepeatLimit, RepeatRules
 from .held_jobs import HeldJobs
 from .job import (
     AGED_CLASS_SUFFIX,
@@ -28,6 +29,7 @@
     JobResult,
     JobState,
     JobSubmission,
+    RestoredJob,
     WaitOptions,
 )
 from .job_ids import JobIds
@@ -69,7 +71,7 @@
         self.ids = JobIds(name, int(wall_clock() * 1000), self._journal.run_id)
         by_name = {c.name: c for c in classes if not c.name.endswith(AGED_CLASS_SUFFIX)}
         weights = {name: job_class.priority_weight for name, job_class in by_name.items()}
-        non_repeatable_classes = frozenset(c.name for c in by_name.values() if _is_non_repeatable(c))
+        self.repeat_rules = RepeatRules(by_name.values())
         self._policy = WaitingPolicy(settings, weights, FleetView(scheduler, by_name, clock).capacity)
         self._watchers = ResultWatchers(settings)
         self._driver = PolicyDriver(
@@ -81,12 +83,20 @@
             scheduler,
             self._journal,
             by_name,
-            non_repeatable_classes,
+            self.repeat_rules,
             clock,
             self._driver.drive,
         )
         self.intake = JobIntake(
-            settings, self._policy, self._journal, self._driver, self._watchers, self.ids, clock, wall_clock
+            settings,
+            self._policy,
+            self._journal,
+            self._driver,
+            self._watchers,
+            self.ids,
+            self.repeat_rules,
+            clock,
+            wall_clock,
         )
         self.recovery_handlers: list[RecoveryHandler] = []
 
@@ -203,7 +213,7 @@
 
         Returns False, without a change, if the job is not indeterminate or the lease is not its latest one.
         """
-        if not self._submissions.is_current_lease(id_, lease):
+        if not self._submissions.grants.is_current_lease(id_, lease):
             return False
         return self._resolve(id_, "", outcome, body, reason)
 
@@ -214,6 +224,7 @@
         resolution = outcome.value if outcome else "never began"
         log.info("job resolved: job=%s outcome=%s by=%s", id_, resolution, by or "its worker")
         if outcome is None:
+            self._submissions.grants.clear_run(id_)
             self._policy.resolve_never_ran(now, job)
         else:
             run_state = RunState.HAS_RUN if outcome is JobOutcome.SERVED else RunState.MAY_HAVE_RUN
@@ -229,28 +240,20 @@
         """Reserve the numbers up to this one, which belong to jobs of earlier runs."""
         self._policy.set_last_number(number)
 
-    def restore(
-        self,
-        submission: JobSubmission,
-        number: int,
-        submission_count: int,
-        lease: str,
-        indeterminate: str = "",
-        dependency_failure: str = "",
-    ) -> None:
-        """Restore a job of an earlier run that has not ended.
+    def restore(self, restored: RestoredJob, lease: str = "", repeat: RepeatLimit | None = None) -> None:
+        """Restore a job of an earlier run that has not ended, with the lease of its latest grant.
 
-        `indeterminate` is the reason why it may have run, `dependency_failure` says which dependency did not
-        end as required; each is empty if that is not so.
+        `repeat` is set if the job may have run, and may still be repeated.
         """
-        now = self._clock()
-        if self._policy.find(submission.id) is not None:
-            return
+        now, id_ = self._clock(), restored.submission.id
         self._driver.mark_busy()
-        submission = self._attach_to_front(submission)
-        if indeterminate:
-            self._submissions.restore_lease(submission.id, lease)
-        self._policy.restore(now, submission, number, submission_count, dependency_failure, indeterminate)
+        restored = replace(restored, submission=self._attach_to_front(restored.submission))
+        if lease:
+            self._submissions.grants.restore(id_, lease, repeat)
+        if repeat is not None:
+            left_s = repeat.deadline_s - asyncio.get_running_loop().time()
+            restored = replace(restored, repeat_deadline_ms=now + left_s * MS_PER_S)
+        self._policy.restore(now, restored)
         self._driver.drive(now)
 
     def _attach_to_front(self, submission: JobSubmission) -> JobSubmission:
@@ -282,12 +285,6 @@
         await self._driver.wait_until_idle()
 
 
-def _is_non_repeatable(job_class: JobClass) -> bool:
-    if job_class.retry_safety is RetrySafety.DEDUPLICATED:
-        return job_class.dedup_scope != "all"
-    return job_class.retry_safety is RetrySafety.NOT_IDEMPOTENT
-
-
 def with_aged_classes(
     classes: Iterable[JobClass],
     settings: WaitingSettings,
--- a/oxbowyard/waiting/journal.py
+++ b/oxbowyard/waiting/journal.py
@@ -37,6 +37,19 @@
     by_idempotency_key: bool = False  # found by its idempotency key, not by its id
 
 
+@dataclass(slots=True, frozen=True)
+class GrantRecord:
+    """A grant of a job to a worker, as it is recorded before the job is sent."""
+
+    worker: str
+    lease: str
+    request_id: str  # the request's id at the worker
+    repeat_window_s: (
+        float  # how long a repeat is harmless, from the first send that may have run; 0: never is
+    )
+    is_repeat: bool  # an earlier send may have run, so the window has begun already
+
+
 class JobJournal(Protocol):
     """Records state changes, in order. Acknowledgements, grants and answers wait until they are durable."""
 
@@ -50,14 +63,17 @@
     def failure_reason(self) -> str:
         """Return why the journal has failed for good; empty if it has not."""
 
-    def record_accepted(self, job: Job, submission: JobSubmission) -> None:
-        """Record a job with everything that is needed to restore it."""
+    def record_accepted(self, job: Job, submission: JobSubmission, records_grants: bool) -> None:
+        """Record a job with everything that is needed to restore it.
+
+        `records_grants` says whether `record_grant` will be called before each time that the job is sent.
+        """
 
     def record_change(self, change: StateChanged, result: JobResult | None) -> None:
         """Record a change of an accepted job; `result` is set when it has ended."""
 
-    def record_grant(self, job: Job, worker: str, lease: str) -> None:
-        """Record that the job is about to be sent to a worker, under this lease."""
+    def record_grant(self, job: Job, grant: GrantRecord) -> None:
+        """Record that the job is about to be sent to a worker."""
 
     def when_durable(self, callback: Callable[[], None]) -> None:
         """Call back once everything that was recorded so far is durable."""
@@ -84,13 +100,13 @@
         """Return an empty string: this journal cannot fail."""
         return ""
 
-    def record_accepted(self, job: Job, submission: JobSubmission) -> None:
+    def record_accepted(self, job: Job, submission: JobSubmission, records_grants: bool) -> None:
         """Do nothing: the job exists in memory only."""
 
     def record_change(self, change: StateChanged, result: JobResult | None) -> None:
         """Do nothing."""
 
-    def record_grant(self, job: Job, worker: str, lease: str) -> None:
+    def record_grant(self, job: Job, grant: GrantRecord) -> None:
         """Do nothing."""
 
     def when_durable(self, callback: Callable[[], None]) -> None:
--- a/oxbowyard/waiting/policy.py
+++ b/oxbowyard/waiting/policy.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 
 from ..core.request import RunState
-from .acceptance import accept_jobs, find_repeated, restore_indeterminate_job, restore_job
-from .job import Action, Job, JobOutcome, JobState, JobSubmission
+from .acceptance import accept_jobs, find_repeated, restore_job
+from .job import Action, Job, JobOutcome, JobState, JobSubmission, RestoredJob
 from .listing import page_of
-from .policy_state import PolicyState, end_job, fire_timer, mark_indeterminate, set_state, set_timer, unblock
+from .policy_state import PolicyState, end_job, fire_timer, mark_indeterminate, set_state, unblock, wait_again
 from .release import release_jobs
 from .release_rate import POLL_INTERVAL_MS, CapacityOf
 from .retention import end_for_shutdown, notify_dependents, purge_results
@@ -103,24 +104,9 @@
         """Number new jobs above this number, which is the highest in the store."""
         self._state.last_number = max(self._state.last_number, number)
 
-    def restore(
-        self,
-        now: float,
-        submission: JobSubmission,
-        number: int,
-        submission_count: int,
-        failure: str = "",
-        indeterminate: str = "",
-    ) -> Job:
-        """Restore a job of an earlier run. `indeterminate` says why it may have run; empty: it never ran.
-
-        See `acceptance.restore_job` and `acceptance.restore_indeterminate_job`.
-        """
-        if indeterminate:
-            return restore_indeterminate_job(
-                self._state, now, submission, number, submission_count, indeterminate
-            )
-        return restore_job(self._state, now, submission, number, submission_count, failure)
+    def restore(self, now: float, restored: RestoredJob) -> Job:
+        """Restore a job of an earlier run; see `acceptance.restore_job`."""
+        return restore_job(self._state, now, restored)
 
     # ---- Events ----
 
@@ -132,7 +118,7 @@
         job = self._state.jobs.get(id_)
         if job is None or not job.is_waiting:
             return None
-        end_job(self._state, job, now, JobOutcome.CANCELLED, reason)
+        end_job(self._state, job, now, JobOutcome.CANCELLED, reason, job.run_state)
         self._run_due_work(now, STEPS_PER_CALL)
         return job
 
@@ -161,11 +147,7 @@
         if not may_retry or state.is_stopping or now + backoff_ms >= job.wait_deadline_ms:
             end_job(state, job, now, JobOutcome.REJECTED, "refused")
         else:
-            # Due no earlier than jobs that become ready now, so that jobs that are rejected again and again
-            # do not starve others.
-            job.release_due_ms = max(job.release_due_ms, now)
-            set_state(state, job, JobState.SCHEDULED)
-            set_timer(state, job, min(now + backoff_ms, job.wait_deadline_ms))
+            wait_again(state, job, now, backoff_ms)
         self._run_due_work(now, STEPS_PER_CALL)
 
     def job_ended(
@@ -185,10 +167,22 @@
         end_job(self._state, job, now, outcome, reason, run_state, result_bytes)
         self._run_due_work(now, STEPS_PER_CALL)
 
-    def job_indeterminate(self, now: float, job: Job, reason: str) -> None:
-        """Handle a submitted job that may have run and whose outcome is unknown."""
+    def job_interrupted(self, now: float, job: Job, repeat_deadline_ms: float, reason: str) -> None:
+        """Handle a submitted job that may have run and whose outcome is unknown.
+
+        It waits to be repeated if a repeat is harmless until `repeat_deadline_ms`, and otherwise is
+        indeterminate for this reason.
+        """
+        state = self._state
         self.rate.window(job.job_class).submitted -= 1
-        mark_indeterminate(self._state, job, reason)
+        job.run_state = RunState.MAY_BE_RUNNING
+        job.repeat_deadline_ms = repeat_deadline_ms
+        if now < job.release_deadline_ms:
+            wait_again(state, job, now, self.rate.record_rejection(job.job_class, now, 0.0))
+        elif job.has_unknown_outcome:
+            mark_indeterminate(state, job, reason)
+        else:
+            end_job(state, job, now, JobOutcome.REJECTED, "refused", job.run_state)
         self._run_due_work(now, STEPS_PER_CALL)
 
     def resolve(
@@ -215,6 +209,7 @@
         if job.state is not JobState.INDETERMINATE:
             return False
         job.run_state = RunState.NEVER_RAN
+        job.repeat_deadline_ms = math.inf
         job.reason = ""
         if self._state.is_stopping or job.wait_deadline_ms <= now:
             reason = "it never ran, and its patience for waiting is over"
--- a/oxbowyard/waiting/policy_driver.py
+++ b/oxbowyard/waiting/policy_driver.py
@@ -103,6 +103,7 @@
         elif result is not None:
             self._deliver_result(job, result)
         elif change.state is JobState.INDETERMINATE:
+            log.warning("job indeterminate: job=%s class=%s reason=%s", job.id, job.job_class, job.reason)
             self._watchers.release_waiters(job.id)
         elif change.state is JobState.PURGED:
             self.results.pop(job.id, None)
@@ -120,7 +121,7 @@
         """Cache the result of an ended job, and deliver it to all that wait for it."""
         if job.state is not JobState.PURGED:
             self.results[job.id] = result
-        self.submissions.discard_lease(job.id)
+        self.submissions.grants.discard(job.id)
         self.outcomes[result.outcome] += 1
         if result.outcome is not JobOutcome.SERVED:
             outcome = result.outcome.value
--- a/oxbowyard/waiting/policy_state.py
+++ b/oxbowyard/waiting/policy_state.py
@@ -20,6 +20,9 @@
 from .settings import WaitingSettings
 
 NO_TIMER_MS = -1.0
+REPEAT_EXPIRED_REASON = (
+    "it may have run, and it is too late to repeat it: its end is not known, look whether it was done"
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -90,7 +93,7 @@
     job.depth = 0
     if job.not_before_ms > now:
         set_state(state, job, JobState.SCHEDULED)
-        set_timer(state, job, min(job.not_before_ms, job.wait_deadline_ms))
+        set_timer(state, job, min(job.not_before_ms, job.release_deadline_ms))
     else:
         make_ready(state, job, now)
 
@@ -103,16 +106,25 @@
     if job.wait_for_idle and job.release_due_ms > now:
         set_state(state, job, JobState.AWAITING_IDLE)
         state.awaiting_idle.add(job)
-        set_timer(state, job, min(job.release_due_ms, job.wait_deadline_ms))
+        set_timer(state, job, min(job.release_due_ms, job.release_deadline_ms))
     else:
         set_state(state, job, JobState.READY)
         state.ready.add(job)
-        set_timer(state, job, job.wait_deadline_ms)
+        set_timer(state, job, job.release_deadline_ms)
+
+
+def wait_again(state: PolicyState, job: Job, now: float, backoff_ms: float) -> None:
+    """Let a submitted job wait for the end of its backoff, after which it is ready again."""
+    # Due no earlier than jobs that become ready now, so that jobs that are rejected again and again do not
+    # starve others.
+    job.release_due_ms = max(job.release_due_ms, now)
+    set_state(state, job, JobState.SCHEDULED)
+    set_timer(state, job, min(now + backoff_ms, job.release_deadline_ms))
 
 
 def _initial_due_ms(state: PolicyState, job: Job, now: float) -> float:
     if job.wait_for_idle:
-        latest = job.wait_deadline_ms - state.age_limit_ms
+        latest = job.release_deadline_ms - state.age_limit_ms
         return max(min(now + state.idle_limit_ms, latest), now)
     return release_due_ms(job, state.priorities.of_job(job), state.age_limit_ms)
 
@@ -120,14 +132,22 @@
 def fire_timer(state: PolicyState, job: Job, now: float) -> None:
     """Handle a job's timer: end the job if its wait has expired, else make it ready."""
     job.timer_at_ms = NO_TIMER_MS
-    if now >= job.wait_deadline_ms:
-        end_job(state, job, now, JobOutcome.WAIT_EXPIRED, "its patience for waiting is over")
+    if now >= job.release_deadline_ms:
+        expire(state, job, now, "its patience for waiting is over")
         return
     if job.state is JobState.AWAITING_IDLE:  # the fleet was not idle in time: it becomes an ordinary job
         state.awaiting_idle.remove(job)
     make_ready(state, job, now)
 
 
+def expire(state: PolicyState, job: Job, now: float, reason: str) -> None:
+    """End a job that may no longer be released, or mark it as indeterminate if its outcome is unknown."""
+    if job.has_unknown_outcome:
+        mark_indeterminate(state, job, REPEAT_EXPIRED_REASON)
+    else:
+        end_job(state, job, now, JobOutcome.WAIT_EXPIRED, reason, job.run_state)
+
+
 def end_job(
     state: PolicyState,
     job: Job,
@@ -154,6 +174,7 @@
 
 def mark_indeterminate(state: PolicyState, job: Job, reason: str) -> None:
     """Mark a job that may have run and whose outcome is unknown; its dependents keep waiting."""
+    _dequeue(state, job)
     job.run_state = RunState.MAY_BE_RUNNING
     job.reason = reason
     set_state(state, job, JobState.INDETERMINATE)
--- a/oxbowyard/waiting/release_queues.py
+++ b/oxbowyard/waiting/release_queues.py
@@ -49,7 +49,7 @@
 def release_due_ms(job: Job, priority: float, age_limit_ms: float) -> float:
     """Return when a job that became ready at `job.ready_at_ms`, and needs no idle fleet, is due."""
     unlimited_ms = job.ready_at_ms + (1.0 - priority) * age_limit_ms
-    return max(min(unlimited_ms, job.wait_deadline_ms - age_limit_ms), job.ready_at_ms)
+    return max(min(unlimited_ms, job.release_deadline_ms - age_limit_ms), job.ready_at_ms)
 
 
 class ReleaseQueues:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -27,7 +27,8 @@
 from oxbowyard.decision.facade import Result
 from oxbowyard.durable.durable_store import DurableStore, StoreOpenError
 from oxbowyard.durable.leases import LeaseTable
-from oxbowyard.durable.recovered_jobs import UnresolvedDependency, recovered_state
+from oxbowyard.durable.machine_clock import Moment
+from oxbowyard.durable.recovered_jobs import RecoveryContext, UnresolvedDependency, recovered_state
 from oxbowyard.durable.settings import DurableSettings
 from oxbowyard.store.database import Database
 from oxbowyard.store.record import (
@@ -63,7 +64,9 @@
         self.queue_harness = QueueHarness(self.attempt, journal=self.durable_store.journal, **more)
         self.job_queue = self.queue_harness.job_queue
         self.job_queue.set_last_number(self.durable_store.last_number)
-        self.recovery = self.durable_store.recovery(self.job_queue, DEADLINES)
+        classes = more.get("classes")
+        deadlines_s = {c.name: c.deadline_ms / 1000 for c in classes} if classes else DEADLINES
+        self.recovery = self.durable_store.recovery(self.job_queue, deadlines_s)
 
     def wall(self) -> float:
         return time.time() + self.stepped
@@ -453,7 +456,8 @@
     [(1040.0, 60.0, 10.0), (1200.0, 0.0, 0.0), (-2600.0, 100.0, 50.0)],  # the wall clock stepped back an hour
 )
 def test_remaining_max_wait_and_delay_after_restart(now: float, max_wait_s: float, delay_s: float) -> None:
-    found = recovered_state(stored(StoredState.WAITING, delay_s=50.0), [], unknown, now)
+    context = RecoveryContext(Moment(now))
+    found = recovered_state(stored(StoredState.WAITING, delay_s=50.0), [], unknown, context)
     assert (found.max_wait_s, found.delay_s, found.indeterminate_reason) == (max_wait_s, delay_s, "")
 
 
@@ -465,9 +469,11 @@
         "going on": UnresolvedDependency.OPEN,
     }
 
+    context = RecoveryContext(Moment(1001.0))
+
     def after(*dependencies: Dependency) -> tuple[tuple[str, ...], str]:
         job = stored(StoredState.SUBMITTED)
-        found = recovered_state(job, dependencies, lambda id_: ends.get(id_) or unknown(id_), 1001.0)
+        found = recovered_state(job, dependencies, lambda id_: ends.get(id_) or unknown(id_), context)
         return tuple(dependency.id for dependency in found.dependencies), found.failed_dependency
 
     assert after(Dependency("served"), Dependency("going on")) == (("going on",), "")
@@ -475,6 +481,6 @@
     assert after(Dependency("failed", DependencyCondition.ENDED)) == ((), "")
     assert after(Dependency("open", DependencyCondition.ENDED)) == ((), "open")
     assert after(Dependency("forgotten")) == ((), "forgotten")
-    reason = recovered_state(stored(StoredState.GRANTED), [], unknown, 1001.0).indeterminate_reason
+    reason = recovered_state(stored(StoredState.GRANTED), [], unknown, context).indeterminate_reason
     assert "w1" in reason and "1970-01-01T00:16:45" in reason
     assert RunState("open") is RunState.MAY_BE_RUNNING
--- a/tests/test_job_queue.py
+++ b/tests/test_job_queue.py
@@ -48,12 +48,19 @@
     """A job queue over a scheduler whose transport is a function of the test."""
 
     def __init__(
-        self, attempt: Attempt, workers: int = 4, journal: Any = None, wall: Any = time.time, **more: Any
+        self,
+        attempt: Attempt,
+        workers: int = 4,
+        journal: Any = None,
+        wall: Any = time.time,
+        classes: tuple[JobClass, ...] | None = None,
+        **more: Any,
     ) -> None:
+        job_classes = CLASSES if classes is None else classes
         changes: dict[str, Any] = {"classes": {"free": ClassSettings(queueing=True)}, "retry_first_s": 0.01}
         waiting = WaitingSettings(**changes | more)
         settings = Settings(
-            classes=with_aged_classes(CLASSES, waiting),
+            classes=with_aged_classes(job_classes, waiting),
             max_attempts=3,
             may_cancel=True,
             reports_starts=True,
@@ -70,7 +77,7 @@
         self._attempt = attempt
         measure = ServiceMeasure(settings.classes)
         self.scheduler = Scheduler(settings, self.facade, self, clock, measure, Limits())
-        self.job_queue = JobQueue(waiting, CLASSES, self.scheduler, clock, "t", wall, journal)
+        self.job_queue = JobQueue(waiting, job_classes, self.scheduler, clock, "t", wall, journal)
         self.results: dict[str, JobResult] = {}
         self.ends: Counter[str] = Counter()
         if workers:
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -7,7 +7,7 @@
 import pytest
 from test_waiting_policy import NO_CAPACITY, PolicyHarness
 
-from oxbowyard.waiting.job import Job, JobSubmission
+from oxbowyard.waiting.job import Job, JobSubmission, RestoredJob
 
 EARLIER = 7
 LATER = 5
@@ -31,7 +31,8 @@
     for number in range(LATER):
         harness.job(f"new{number}")
     for number in range(1, EARLIER + 1):
-        harness.policy.restore(harness.now, JobSubmission(f"old{number}", "light", 60_000.0), number, 0)
+        old = JobSubmission(f"old{number}", "light", 60_000.0)
+        harness.policy.restore(harness.now, RestoredJob(old, number, 0))
         harness.drain()
         listed = list_all(harness, limit)
         assert len(listed) == LATER + number
