A recovered job is released only if each parent ended as it asks

Callers saw: after a crash an accession ran and was served though its label check, which it waits for, had expired while the scheduler was away and never ran.

Cause: the recovery took a parent's state from the page as it was read and then restored the page job by job. By the same lines a child ran whose parent was itself orphaned by the recovery, and one whose parent stays in the store because its class is gone.

Change: adding a job with parents asks each parent in memory with the function that a parent's end uses. A parent that was open by the page, and is neither in memory nor left in the store, is read again. A parent that is left in the store holds its children until their own patience ends. Why it works: a child becomes ready only by outcomes that satisfy its conditions; whatever is not known to have ended counts as not ended.

--- a/oxbowyard/durable/recovery.py
+++ b/oxbowyard/durable/recovery.py
@@ -13,7 +13,7 @@
 from ..store.record import FINAL_FAILURES, JobEnded, StoredJob, StoreError
 from ..store.writer import LOST_STATES, Writer
 from ..waiting.grants import RepeatLimit
-from ..waiting.job import Dependency, JobSubmission, RestoredJob
+from ..waiting.job import Dependency, JobOutcome, JobState, JobSubmission, RestoredJob
 from ..waiting.job_queue import JobQueue
 from .journal import DurableJournal, decode_dependencies, decode_records_grants, decode_request
 from .recovered_jobs import RecoveredState, RecoveryContext, UnresolvedDependency, recovered_state
@@ -26,7 +26,7 @@
 T = TypeVar("T")
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class FoundJob:
     """A job that has not ended, with the outcomes of its dependencies when it was read."""
 
@@ -70,6 +70,7 @@
         self._deadlines_s = deadlines_s
         self._page_size = page_size
         self.counts = RecoveryCounts()
+        self._left_in_store: set[str] = set()  # ids of the jobs that can't be restored
         queue.intake.is_recovering = True
 
     async def run(self) -> None:
@@ -89,6 +90,7 @@
         while page := await self._read_page(after, last):
             after = page[-1].stored.accepted.number
             for found in page:
+                await self._read_stale_outcomes(found)
                 self._restore(found)
             await asyncio.sleep(0)
             while self._queue.held.jobs >= self._queue.settings.max_jobs:
@@ -115,6 +117,18 @@
 
         return await self._read(read)
 
+    async def _read_stale_outcomes(self, found: FoundJob) -> None:
+        """Read the outcomes of dependencies again that ended, and left memory, after the job was read."""
+        stale = [
+            id_
+            for id_, outcome in found.outcomes.items()
+            if outcome is UnresolvedDependency.OPEN
+            and id_ not in self._left_in_store
+            and self._queue.find(id_) is None
+        ]
+        if stale:
+            found.outcomes.update(await self._read(lambda database: _find_outcomes(database, stale)))
+
     async def _read(self, query: Callable[[Database], T]) -> T:
         """Read from the store, with retries; raises StoreError once it has failed for good."""
         while True:
@@ -132,6 +146,7 @@
         deadline_s = self._deadlines_s.get(accepted.job_class)
         if deadline_s is None:  # the class was removed from the settings, and may be added again
             self.counts.unknown_class += 1
+            self._left_in_store.add(accepted.id)
             log.warning(
                 "job left in the store, unknown class: job=%s class=%s", accepted.id, accepted.job_class
             )
@@ -150,10 +165,10 @@
             failure,
         )
         lease = stored.lease.token if stored.lease else ""
-        self._queue.restore(restored, lease, _repeat_limit(state))
-        if failed:
+        job = self._queue.restore(restored, lease, _repeat_limit(state))
+        if job.outcome is JobOutcome.DEPENDENCY_FAILED:
             self.counts.dependency_failed += 1
-        elif state.indeterminate_reason:
+        elif job.state is JobState.INDETERMINATE:
             self.counts.indeterminate += 1
         else:
             self.counts.resumed += 1
@@ -206,8 +221,11 @@
 
 def _find_dependencies(database: Database, stored: StoredJob) -> FoundJob:
     dependencies = decode_dependencies(stored)
-    outcomes = {dependency.id: _find_outcome(database, dependency.id) for dependency in dependencies}
-    return FoundJob(stored, dependencies, outcomes)
+    return FoundJob(stored, dependencies, _find_outcomes(database, [d.id for d in dependencies]))
+
+
+def _find_outcomes(database: Database, ids: list[str]) -> dict[str, JobEnded | UnresolvedDependency]:
+    return {id_: _find_outcome(database, id_) for id_ in ids}
 
 
 def _find_outcome(database: Database, id_: str) -> JobEnded | UnresolvedDependency:
--- a/oxbowyard/waiting/acceptance.py
+++ b/oxbowyard/waiting/acceptance.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from ..core.request import RunState
-from .dependencies import topological_order
+from .dependencies import topological_order, unsatisfied_reason
 from .held_jobs import check_submissions, queue_full_error
 from .job import (
     Job,
@@ -53,7 +53,7 @@
     for submission, depth in topological_order(submissions, state.jobs.get, state.settings):
         state.last_number += 1
         job = _add_job(state, now, submission, state.last_number, depth)
-        _begin_waiting(state, job, now)
+        _begin_waiting(state, job, now, submission)
         accepted[submission.id] = job
     return [accepted[submission.id] for submission in submissions]
 
@@ -76,12 +76,16 @@
     elif job.release_deadline_ms <= now:
         expire(state, job, now, "its patience for waiting was over before the restart")
     else:
-        _begin_waiting(state, job, now)
+        _begin_waiting(state, job, now, restored.submission)
     return job
 
 
-def _begin_waiting(state: PolicyState, job: Job, now: float) -> None:
-    if job.pending_dependencies:
+def _begin_waiting(state: PolicyState, job: Job, now: float, submission: JobSubmission) -> None:
+    """Let a job wait for its dependencies, or end it if one has ended in a way that does not satisfy it."""
+    failure = _add_dependencies(state, job, submission)
+    if failure:
+        end_job(state, job, now, JobOutcome.DEPENDENCY_FAILED, failure)
+    elif job.pending_dependencies:
         set_timer(state, job, job.wait_deadline_ms)
     else:
         unblock(state, job, now)
@@ -107,7 +111,6 @@
         depth=depth,
         durable=submission.durable,
     )
-    _add_dependencies(state, job, submission)
     state.jobs[job.id] = job
     state.jobs_by_number.add(job)
     if job.idempotency_key:
@@ -117,12 +120,21 @@
     return job
 
 
-def _add_dependencies(state: PolicyState, job: Job, submission: JobSubmission) -> None:
+def _add_dependencies(state: PolicyState, job: Job, submission: JobSubmission) -> str:
+    """Register a job with its dependencies that have not ended.
+
+    A dependency that is not known here is one that was left in the store: the job waits for it until its own
+    wait is over. Returns why a dependency that has ended does not satisfy the job; empty if all of them do.
+    """
     for dependency in submission.dependencies:
         known = state.jobs.get(dependency.id)
-        if known is None or known.outcome is not None:
-            continue
-        if known.dependents is None:
-            known.dependents = []
-        known.dependents.append((job, dependency.condition))
-        job.pending_dependencies += 1
+        if known is None:
+            job.pending_dependencies += 1
+        elif known.outcome is None:
+            if known.dependents is None:
+                known.dependents = []
+            known.dependents.append((job, dependency.condition))
+            job.pending_dependencies += 1
+        elif failure := unsatisfied_reason(known, dependency.condition):
+            return failure
+    return ""
--- a/oxbowyard/waiting/dependencies.py
+++ b/oxbowyard/waiting/dependencies.py
@@ -34,6 +34,15 @@
     return condition is DependencyCondition.ENDED and run_state is not RunState.MAY_BE_RUNNING
 
 
+def unsatisfied_reason(ended: Job, condition: DependencyCondition) -> str:
+    """Return why an ended job does not satisfy a dependent's condition; empty if it does."""
+    assert ended.outcome is not None
+    if is_satisfied(ended.outcome, ended.run_state, condition):
+        return ""
+    may_run = ", it may still run" if ended.run_state is RunState.MAY_BE_RUNNING else ""
+    return f"{ended.id} ended: {ended.outcome.value}{may_run}"
+
+
 def topological_order(
     submissions: Sequence[JobSubmission], find: FindJob, settings: WaitingSettings
 ) -> list[tuple[JobSubmission, int]]:
--- a/oxbowyard/waiting/job_queue.py
+++ b/oxbowyard/waiting/job_queue.py
@@ -240,7 +240,7 @@
         """Reserve the numbers up to this one, which belong to jobs of earlier runs."""
         self._policy.set_last_number(number)
 
-    def restore(self, restored: RestoredJob, lease: str = "", repeat: RepeatLimit | None = None) -> None:
+    def restore(self, restored: RestoredJob, lease: str = "", repeat: RepeatLimit | None = None) -> Job:
         """Restore a job of an earlier run that has not ended, with the lease of its latest grant.
 
         `repeat` is set if the job may have run, and may still be repeated.
@@ -253,8 +253,9 @@
         if repeat is not None:
             left_s = repeat.deadline_s - asyncio.get_running_loop().time()
             restored = replace(restored, repeat_deadline_ms=now + left_s * MS_PER_S)
-        self._policy.restore(now, restored)
+        job = self._policy.restore(now, restored)
         self._driver.drive(now)
+        return job
 
     def _attach_to_front(self, submission: JobSubmission) -> JobSubmission:
         """Attach a restored job to the front through which it was submitted."""
--- a/oxbowyard/waiting/retention.py
+++ b/oxbowyard/waiting/retention.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from ..core.request import RunState
-from .dependencies import is_satisfied
+from .dependencies import unsatisfied_reason
 from .job import Job, JobOutcome, JobState
 from .policy_state import PolicyState, end_job, set_state, unblock
 
@@ -19,10 +18,7 @@
         for dependent, condition in ended.dependents:
             steps -= 1
             if dependent.outcome is None:
-                job = ended.job
-                assert job.outcome is not None
-                satisfied = is_satisfied(job.outcome, job.run_state, condition)
-                _notify(state, dependent, job, satisfied, now)
+                _notify(state, dependent, unsatisfied_reason(ended.job, condition), now)
             if steps <= 0:
                 break
         else:
@@ -30,12 +26,9 @@
     return steps
 
 
-def _notify(state: PolicyState, dependent: Job, ended: Job, satisfied: bool, now: float) -> None:
-    assert ended.outcome is not None
-    if not satisfied:
-        may_run = ", it may still run" if ended.run_state is RunState.MAY_BE_RUNNING else ""
-        reason = f"{ended.id} ended: {ended.outcome.value}{may_run}"
-        end_job(state, dependent, now, JobOutcome.DEPENDENCY_FAILED, reason)
+def _notify(state: PolicyState, dependent: Job, failure: str, now: float) -> None:
+    if failure:
+        end_job(state, dependent, now, JobOutcome.DEPENDENCY_FAILED, failure)
         return
     dependent.pending_dependencies -= 1
     if not dependent.pending_dependencies:
