A child is not orphaned at a restart because its parent's answer was deleted

Callers saw: a job that waits for a served parent and for something else ended as orphaned after a restart, once keep_answers_s or max_answers had deleted the parent's answer.

Cause: what a job still waits for was not recorded. The recovery worked it out anew from its parents' answers and took a parent without one for unknown.

Change: when a parent ends as required, the record of each durable child loses it; the recovery does the same for parents that ended just before the crash. The form of the store stays. Why it works: the record names only parents without a satisfying end, whose records can't be deleted before it changes.

--- a/oxbowyard/durable/journal.py
+++ b/oxbowyard/durable/journal.py
@@ -10,6 +10,7 @@
 from ..core.request import Request, RunState
 from ..store.database import Database
 from ..store.record import (
+    DependenciesChanged,
     FirstSend,
     JobAccepted,
     JobEnded,
@@ -88,7 +89,6 @@
         """Record an accepted job with everything that is needed to restore it."""
         request = submission.request
         assert request is not None
-        dependencies = [[d.id, d.condition.value] for d in submission.dependencies]
         accepted = JobAccepted(
             job.number,
             job.id,
@@ -101,7 +101,7 @@
             delay_s=submission.delay_ms / 1000,
             wait_for_idle=job.wait_for_idle,
             priority=job.priority,
-            dependencies=json.dumps(dependencies).encode(),
+            dependencies=encode_dependencies(submission.dependencies),
             request=encode_request(request, records_grants),
             payload=request.payload,
         )
@@ -136,6 +136,10 @@
     def _put_state(self, job: Job, state: StoredState) -> None:
         self._writer.put(JobStateChanged(job.number, state, job.submission_count))
 
+    def record_dependencies(self, job: Job) -> None:
+        """Record the dependencies that the job still waits for; the results of the others may be deleted."""
+        self._writer.put(DependenciesChanged(job.number, encode_dependencies(job.dependencies)))
+
     def record_grant(self, job: Job, grant: GrantRecord) -> None:
         """Record that the job is about to be sent to a worker, and when it was first sent."""
         now = self.machine_clock.now()
@@ -242,6 +246,11 @@
     return records_grants
 
 
+def encode_dependencies(dependencies: Sequence[Dependency]) -> bytes:
+    """Encode the dependencies of a job."""
+    return json.dumps([[d.id, d.condition.value] for d in dependencies]).encode()
+
+
 def decode_dependencies(stored: StoredJob) -> list[Dependency]:
     """Decode the dependencies of a stored job."""
     rows = json.loads(stored.accepted.dependencies)
--- a/oxbowyard/durable/recovery.py
+++ b/oxbowyard/durable/recovery.py
@@ -166,6 +166,8 @@
         )
         lease = stored.lease.token if stored.lease else ""
         job = self._queue.restore(restored, lease, _repeat_limit(state))
+        if job.is_waiting and len(job.dependencies) < len(found.dependencies):
+            self._journal.record_dependencies(job)
         if job.outcome is JobOutcome.DEPENDENCY_FAILED:
             self.counts.dependency_failed += 1
         elif job.state is JobState.INDETERMINATE:
--- a/oxbowyard/store/database.py
+++ b/oxbowyard/store/database.py
@@ -19,6 +19,7 @@
 from .lock import StoreLock, lock_path
 from .record import (
     Change,
+    DependenciesChanged,
     JobAccepted,
     JobEnded,
     JobStateChanged,
@@ -162,6 +163,8 @@
                 state = (change.state.value, change.submission_count)
                 values = (*state, *schema.lease_values(lease), change.number)
                 self._db.execute(schema.UPDATE_STATE, values)
+            case DependenciesChanged():
+                self._db.execute(schema.UPDATE_DEPENDENCIES, (change.dependencies, change.number))
             case JobEnded():
                 self._end_job(change)
 
--- a/oxbowyard/store/record.py
+++ b/oxbowyard/store/record.py
@@ -71,6 +71,14 @@
     lease: Lease | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class DependenciesChanged:
+    """A waiting job has other dependencies left."""
+
+    number: int
+    dependencies: bytes  # JSON
+
+
 @dataclass(slots=True, frozen=True)
 class JobEnded:
     """A job has ended with this result. `resolved_by` names the operator who resolved it, if one did."""
@@ -85,7 +93,7 @@
     resolved_by: str = ""
 
 
-Change = JobAccepted | JobStateChanged | JobEnded
+Change = JobAccepted | JobStateChanged | DependenciesChanged | JobEnded
 
 
 @dataclass(slots=True, frozen=True)
--- a/oxbowyard/store/schema.py
+++ b/oxbowyard/store/schema.py
@@ -44,6 +44,7 @@
 UPDATE_STATE = """UPDATE jobs SET kept = ?, asks = ?, lease = ?, backend = ?, granted_at = ?, reason = ?
     WHERE number = ? AND kept != 'ended'"""
 UPDATE_STATE_KEEP_LEASE = "UPDATE jobs SET kept = ?, asks = ? WHERE number = ? AND kept != 'ended'"
+UPDATE_DEPENDENCIES = "UPDATE jobs SET parents = ? WHERE number = ? AND kept != 'ended'"
 END_JOB = """UPDATE jobs SET kept = 'ended', end = ?, ran = ?, reason = ?, result = ?, retry_after = ?,
     ended_at = ?, resolved_by = ?, payload = x'' WHERE number = ? AND kept != 'ended'"""
 DELETE_OLD_RESULTS = """DELETE FROM jobs WHERE number IN
--- a/oxbowyard/waiting/acceptance.py
+++ b/oxbowyard/waiting/acceptance.py
@@ -85,7 +85,7 @@
     failure = _add_dependencies(state, job, submission)
     if failure:
         end_job(state, job, now, JobOutcome.DEPENDENCY_FAILED, failure)
-    elif job.pending_dependencies:
+    elif job.dependencies:
         set_timer(state, job, job.wait_deadline_ms)
     else:
         unblock(state, job, now)
@@ -126,15 +126,17 @@
     A dependency that is not known here is one that was left in the store: the job waits for it until its own
     wait is over. Returns why a dependency that has ended does not satisfy the job; empty if all of them do.
     """
+    pending = []
     for dependency in submission.dependencies:
         known = state.jobs.get(dependency.id)
         if known is None:
-            job.pending_dependencies += 1
+            pending.append(dependency)
         elif known.outcome is None:
             if known.dependents is None:
                 known.dependents = []
             known.dependents.append((job, dependency.condition))
-            job.pending_dependencies += 1
+            pending.append(dependency)
         elif failure := unsatisfied_reason(known, dependency.condition):
             return failure
+    job.dependencies = tuple(pending)
     return ""
--- a/oxbowyard/waiting/job.py
+++ b/oxbowyard/waiting/job.py
@@ -151,7 +151,7 @@
     request: Request | None
     depth: int = 0  # length of the longest chain of unfinished dependencies
     durable: bool = False
-    pending_dependencies: int = 0
+    dependencies: tuple[Dependency, ...] = ()  # those that have not ended as required yet
     dependents: list[tuple[Job, DependencyCondition]] | None = None
     ready_at_ms: float = -1.0  # when it was first ready; -1: not yet
     release_due_ms: float = 0.0  # ready jobs are released in the order of this time
@@ -198,7 +198,14 @@
     job_class: str
 
 
-Action = StateChanged | SubmitJob
+@dataclass(slots=True, frozen=True)
+class DependencySatisfied:
+    """A dependency of a durable waiting job has ended as required. The job has those that are left."""
+
+    job: Job
+
+
+Action = StateChanged | SubmitJob | DependencySatisfied
 
 
 # Any other outcome is answered as a rejection.
--- a/oxbowyard/waiting/journal.py
+++ b/oxbowyard/waiting/journal.py
@@ -72,6 +72,9 @@
     def record_change(self, change: StateChanged, result: JobResult | None) -> None:
         """Record a change of an accepted job; `result` is set when it has ended."""
 
+    def record_dependencies(self, job: Job) -> None:
+        """Record the dependencies that the job still waits for."""
+
     def record_grant(self, job: Job, grant: GrantRecord) -> None:
         """Record that the job is about to be sent to a worker."""
 
@@ -106,6 +109,9 @@
     def record_change(self, change: StateChanged, result: JobResult | None) -> None:
         """Do nothing."""
 
+    def record_dependencies(self, job: Job) -> None:
+        """Do nothing."""
+
     def record_grant(self, job: Job, grant: GrantRecord) -> None:
         """Do nothing."""
 
--- a/oxbowyard/waiting/policy_driver.py
+++ b/oxbowyard/waiting/policy_driver.py
@@ -8,7 +8,7 @@
 
 from ..core.service_measure import ServiceMeasure
 from .core_submissions import CoreSubmissions, WorkerAnswer
-from .job import Action, Job, JobOutcome, JobResult, JobState, StateChanged, SubmitJob
+from .job import Action, DependencySatisfied, Job, JobOutcome, JobResult, JobState, StateChanged, SubmitJob
 from .journal import JobJournal
 from .policy import WaitingPolicy
 from .result_watchers import ResultWatchers
@@ -88,6 +88,8 @@
         try:
             if isinstance(action, SubmitJob):
                 self.submissions.submit(action.job, action.job_class)
+            elif isinstance(action, DependencySatisfied):
+                self._journal.record_dependencies(action.job)
             else:
                 self._apply_change(action)
         except Exception:  # a failure with one job must not lose the results of others
--- a/oxbowyard/waiting/retention.py
+++ b/oxbowyard/waiting/retention.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from .dependencies import unsatisfied_reason
-from .job import Job, JobOutcome, JobState
+from .job import DependencySatisfied, Job, JobOutcome, JobState
 from .policy_state import PolicyState, end_job, set_state, unblock
 
 
@@ -18,7 +18,7 @@
         for dependent, condition in ended.dependents:
             steps -= 1
             if dependent.outcome is None:
-                _notify(state, dependent, unsatisfied_reason(ended.job, condition), now)
+                _notify(state, dependent, ended.job, unsatisfied_reason(ended.job, condition), now)
             if steps <= 0:
                 break
         else:
@@ -26,12 +26,14 @@
     return steps
 
 
-def _notify(state: PolicyState, dependent: Job, failure: str, now: float) -> None:
+def _notify(state: PolicyState, dependent: Job, ended: Job, failure: str, now: float) -> None:
     if failure:
         end_job(state, dependent, now, JobOutcome.DEPENDENCY_FAILED, failure)
         return
-    dependent.pending_dependencies -= 1
-    if not dependent.pending_dependencies:
+    dependent.dependencies = tuple(d for d in dependent.dependencies if d.id != ended.id)
+    if dependent.durable:
+        state.actions.append(DependencySatisfied(dependent))
+    if not dependent.dependencies:
         unblock(state, dependent, now)
 
 
--- a/tests/test_recovered_dependencies.py
+++ b/tests/test_recovered_dependencies.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -189,3 +190,31 @@
         await new.durable_store.close()
 
     play(scene)
+
+
+@pytest.mark.parametrize("restarts", [1, 3])
+def test_child_outlives_the_deletion_of_its_parents_answer(restarts: int, tmp_path: Path) -> None:
+    # Guards against a child that is orphaned after a restart though its parent was served.
+    async def scene() -> None:
+        path = tmp_path / "jobs.db"
+        run = run_of(path)
+        await run.submit("parent", "free")
+        await run.submit("timed", "free", delay_s=50.0, max_wait_s=600.0)
+        await submit_after(run, "child", "parent", "timed")
+        assert await ends(run, "parent") == [JobOutcome.SERVED]
+        for restart in range(restarts):
+            await run.job_queue.intake.wait_until_durable()
+            await delete_answers(run)
+            run = run_of(path, 1.0 + restart)
+            await run.recovery.run()
+            assert run.state("child") is JobState.BLOCKED
+        await delete_answers(run)
+        last = run_of(path, 60.0)
+        await last.recovery.run()
+        assert await ends(last, "timed", "child") == [JobOutcome.SERVED, JobOutcome.SERVED]
+        await last.durable_store.close()
+
+    async def delete_answers(run: DurableHarness) -> None:
+        await run.durable_store._writer.read(lambda database: database.prune(math.inf, 0, 100))
+
+    play(scene)
--- a/tests/test_waiting_policy.py
+++ b/tests/test_waiting_policy.py
@@ -16,6 +16,7 @@
     AGED_CLASS_SUFFIX,
     Dependency,
     DependencyCondition,
+    DependencySatisfied,
     Job,
     JobOutcome,
     JobRejectedError,
@@ -63,7 +64,7 @@
         for action in actions:
             if isinstance(action, SubmitJob):
                 self.released.append((self.now, action.job.id, action.job_class))
-            elif action.state is JobState.ENDED:
+            elif isinstance(action, StateChanged) and action.state is JobState.ENDED:
                 self.ends[action.job.id] += 1
 
     def run(self, ms: float) -> None:
@@ -549,6 +550,7 @@
 
         def drain() -> None:
             for action in self.harness.policy._state.actions:
+                assert not isinstance(action, DependencySatisfied)  # these jobs are not durable
                 self._check(action)
             inner()
 
