A repeatable job that may still run after a crash orphans children that wait for its end

A job that waits for a free parent with "when":"ended" was released after a crash while the parent, whose patience was over or which was cancelled, may still have run at its worker. The parent's client read "ran never".

Cause: sends of repeatable jobs are not recorded, so the recovery took each for one that never ran.

Change: if a job waits for any end of a repeatable one, the release of that one is recorded before it is sent, or before the child is acknowledged. Whether the sends of a job are recorded first is now kept in its stored request, so that the state "asked", which no release wrote, says that a job may have run. A job that waits to be repeated keeps what is known of its run when it is refused or cancelled. Why it works: the record is committed before the send, and only a proof that the job never ran takes it back. tests/test_durable.py: recovered_state takes its class's window; a job in the state "asked" resolves its dependencies in a class that can always be repeated.

--- a/oxbowyard/durable/journal.py
+++ b/oxbowyard/durable/journal.py
@@ -16,6 +16,7 @@
     JobEnded,
     JobStateChanged,
     Lease,
+    RequestChanged,
     StoredJob,
     StoredState,
     StoreError,
@@ -74,6 +75,9 @@
         self.machine_clock = MachineClock(wall_clock)
         # By the number of each job with a recorded grant; None: it must not be sent again.
         self._granted: dict[int, FirstSend | None] = {}
+        self._submitted: set[int] = (
+            set()
+        )  # numbers of the jobs that are recorded as submitted without a grant
 
     def rejection_reason(self) -> str:
         """Return why no durable jobs are accepted; empty if they are."""
@@ -112,13 +116,15 @@
         job = change.job
         if result is not None:
             self._granted.pop(job.number, None)
+            self._submitted.discard(job.number)
             self._writer.put(self._ended_record(job, result))
         elif change.state is JobState.STARTED and job.number in self._granted:
             self._put_state(job, StoredState.STARTED)
         elif change.state is JobState.INDETERMINATE:
             self._put_state(job, StoredState.INDETERMINATE)
-        elif job.number in self._granted and _never_ran(change):
-            del self._granted[job.number]
+        elif (job.number in self._granted or job.number in self._submitted) and _never_ran(change):
+            self._granted.pop(job.number, None)
+            self._submitted.discard(job.number)
             self._put_state(job, StoredState.WAITING)
 
     def _ended_record(self, job: Job, result: JobResult) -> JobEnded:
@@ -150,14 +156,24 @@
         lease = Lease(grant.lease, grant.worker, now.unix_s, first_send)
         self._writer.put(JobStateChanged(job.number, StoredState.GRANTED, job.submission_count, lease))
 
+    def record_submission(self, job: Job) -> None:
+        """Record that the job may run from now on, if none of its grants is recorded."""
+        if job.number not in self._submitted:
+            self._submitted.add(job.number)
+            self._put_state(job, StoredState.SUBMITTED)
+
     def restore_grant(self, number: int, first_send: FirstSend | None) -> None:
         """Note a job of an earlier run that may have run, so that a proof that it did not is recorded."""
         self._granted[number] = first_send
 
-    def record_unrecorded_sends(self, stored: StoredJob) -> None:
-        """Record that from now on the job may be sent without a recorded grant, as its class allows now."""
-        changed = JobStateChanged(stored.accepted.number, StoredState.SUBMITTED, stored.submission_count)
-        self._writer.put(changed)
+    def restore_submission(self, number: int) -> None:
+        """Note a job of an earlier run that is recorded as submitted without a grant."""
+        self._submitted.add(number)
+
+    def record_rules(self, stored: StoredJob, records_grants: bool) -> None:
+        """Record whether each send of a job that never ran is recorded from now on."""
+        fields = json.loads(stored.accepted.request) | {RECORDS_GRANTS_FIELD: records_grants}
+        self._writer.put(RequestChanged(stored.accepted.number, json.dumps(fields).encode()))
 
     def when_durable(self, callback: Callable[[], None]) -> None:
         """Call back after everything that was recorded so far is committed; never if that fails for good."""
@@ -240,8 +256,6 @@
 
 def decode_records_grants(stored: StoredJob) -> bool | None:
     """Return whether each send of a stored job is recorded first; None if an earlier release accepted it."""
-    if stored.state is StoredState.SUBMITTED:
-        return False
     records_grants: bool | None = json.loads(stored.accepted.request).get(RECORDS_GRANTS_FIELD)
     return records_grants
 
--- a/oxbowyard/durable/recovered_jobs.py
+++ b/oxbowyard/durable/recovered_jobs.py
@@ -44,6 +44,7 @@
     failed_dependency: str = ""  # the id of one that did not end as required
     first_send: FirstSend | None = None  # set if it may have run and may be repeated
     repeat_s: float = 0.0  # for how long it may be repeated
+    may_have_run: bool = False  # its class can always be repeated
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,7 +52,7 @@
     """What the state of a restored job depends on, beside the store."""
 
     now: Moment
-    repeat_window_s: float = 0.0  # of its class, by the settings now; 0: never, infinite: always
+    repeat_window_s: float  # of its class, by the settings now; 0: never, infinite: always
     records_grants: bool | None = None  # see `journal.decode_records_grants`
 
 
@@ -75,10 +76,13 @@
             open_dependencies.append(dependency)
         elif isinstance(end, UnresolvedDependency) or not _is_satisfied_by(end, dependency):
             return RecoveredState(max_wait_s, delay_s, failed_dependency=dependency.id)
-    was_due = not open_dependencies and delay_s <= 0
-    if was_due and _may_have_been_sent_unrecorded(context):
+    is_submitted = stored.state is StoredState.SUBMITTED
+    was_due = is_submitted or (not open_dependencies and delay_s <= 0)
+    if was_due and _may_have_been_sent_unrecorded(stored, context):
         return _state_after_unrecorded_send(stored, max_wait_s, context)
-    return RecoveredState(max_wait_s, delay_s, dependencies=tuple(open_dependencies))
+    may_have_run = is_submitted and math.isinf(context.repeat_window_s)
+    dependencies_left = tuple(open_dependencies)
+    return RecoveredState(max_wait_s, delay_s, dependencies=dependencies_left, may_have_run=may_have_run)
 
 
 def _state_after_grant(stored: StoredJob, max_wait_s: float, context: RecoveryContext) -> RecoveredState:
@@ -100,10 +104,12 @@
     return stored.lease.first_send
 
 
-def _may_have_been_sent_unrecorded(context: RecoveryContext) -> bool:
+def _may_have_been_sent_unrecorded(stored: StoredJob, context: RecoveryContext) -> bool:
     """Return whether a job without a grant may have been sent, and a repeat may do harm now."""
     if math.isinf(context.repeat_window_s):
         return False
+    if stored.state is StoredState.SUBMITTED:
+        return True
     if context.records_grants is not None:
         return not context.records_grants
     # Earlier releases recorded the grants of all classes but those that all workers deduplicate.
--- a/oxbowyard/durable/recovery.py
+++ b/oxbowyard/durable/recovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -163,11 +164,13 @@
             stored.submission_count,
             state.indeterminate_reason,
             failure,
+            math.inf if state.may_have_run else None,
         )
         lease = stored.lease.token if stored.lease else ""
         job = self._queue.restore(restored, lease, _repeat_limit(state))
         if job.is_waiting and len(job.dependencies) < len(found.dependencies):
             self._journal.record_dependencies(job)
+        self._queue.intake.record_running_dependencies(job)
         if job.outcome is JobOutcome.DEPENDENCY_FAILED:
             self.counts.dependency_failed += 1
         elif job.state is JobState.INDETERMINATE:
@@ -186,13 +189,14 @@
 
     def _restore_grant_records(self, stored: StoredJob, state: RecoveredState) -> None:
         """Bring the journal's record of the job's grants in line with the settings of this run."""
-        job_class = stored.accepted.job_class
+        number = stored.accepted.number
+        needs_grant = self._queue.repeat_rules.needs_grant(stored.accepted.job_class)
         if state.first_send is not None or state.indeterminate_reason:
-            self._journal.restore_grant(stored.accepted.number, state.first_send)
-        elif (
-            not self._queue.repeat_rules.needs_grant(job_class) and decode_records_grants(stored) is not False
-        ):
-            self._journal.record_unrecorded_sends(stored)
+            self._journal.restore_grant(number, state.first_send)
+        elif state.may_have_run:
+            self._journal.restore_submission(number)
+        elif decode_records_grants(stored) is not needs_grant:
+            self._journal.record_rules(stored, needs_grant)
 
 
 def _repeat_limit(state: RecoveredState) -> RepeatLimit | None:
--- a/oxbowyard/store/database.py
+++ b/oxbowyard/store/database.py
@@ -23,6 +23,7 @@
     JobAccepted,
     JobEnded,
     JobStateChanged,
+    RequestChanged,
     StoredJob,
     StoredState,
     StoreError,
@@ -165,6 +166,8 @@
                 self._db.execute(schema.UPDATE_STATE, values)
             case DependenciesChanged():
                 self._db.execute(schema.UPDATE_DEPENDENCIES, (change.dependencies, change.number))
+            case RequestChanged():
+                self._db.execute(schema.UPDATE_REQUEST, (change.request, change.number))
             case JobEnded():
                 self._end_job(change)
 
--- a/oxbowyard/store/record.py
+++ b/oxbowyard/store/record.py
@@ -13,7 +13,7 @@
     """The last recorded state of a job."""
 
     WAITING = "waiting"  # waits for its dependencies, its start time or its turn; no grant is recorded
-    SUBMITTED = "asked"  # as WAITING, and from now on it may be sent without a recorded grant
+    SUBMITTED = "asked"  # it may have run, and none of its grants is recorded
     GRANTED = "granted"  # a worker may have received it; from here on it may have run
     STARTED = "started"  # a worker reported its start
     INDETERMINATE = "doubt"  # it may have run, and its outcome is unknown
@@ -79,6 +79,14 @@
     dependencies: bytes  # JSON
 
 
+@dataclass(slots=True, frozen=True)
+class RequestChanged:
+    """The stored request of a job is replaced."""
+
+    number: int
+    request: bytes  # JSON
+
+
 @dataclass(slots=True, frozen=True)
 class JobEnded:
     """A job has ended with this result. `resolved_by` names the operator who resolved it, if one did."""
@@ -93,7 +101,7 @@
     resolved_by: str = ""
 
 
-Change = JobAccepted | JobStateChanged | DependenciesChanged | JobEnded
+Change = JobAccepted | JobStateChanged | DependenciesChanged | RequestChanged | JobEnded
 
 
 @dataclass(slots=True, frozen=True)
--- a/oxbowyard/store/schema.py
+++ b/oxbowyard/store/schema.py
@@ -45,6 +45,7 @@
     WHERE number = ? AND kept != 'ended'"""
 UPDATE_STATE_KEEP_LEASE = "UPDATE jobs SET kept = ?, asks = ? WHERE number = ? AND kept != 'ended'"
 UPDATE_DEPENDENCIES = "UPDATE jobs SET parents = ? WHERE number = ? AND kept != 'ended'"
+UPDATE_REQUEST = "UPDATE jobs SET req = ? WHERE number = ? AND kept != 'ended'"
 END_JOB = """UPDATE jobs SET kept = 'ended', end = ?, ran = ?, reason = ?, result = ?, retry_after = ?,
     ended_at = ?, resolved_by = ?, payload = x'' WHERE number = ? AND kept != 'ended'"""
 DELETE_OLD_RESULTS = """DELETE FROM jobs WHERE number IN
--- a/oxbowyard/waiting/core_submissions.py
+++ b/oxbowyard/waiting/core_submissions.py
@@ -18,6 +18,7 @@
 from ..core.request import Answer, AnswerKind, AttemptUpdate, Request, RunState
 from ..core.scheduler import Scheduler
 from ..decision.settings import JobClass
+from .dependencies import has_dependents_on_any_end
 from .grants import MS_PER_S, Grants, RepeatLimit, RepeatRules
 from .job import Job, JobOutcome
 from .journal import GrantRecord, JobJournal
@@ -41,7 +42,6 @@
     """A job that was submitted to the core, or is about to be."""
 
     request_id: str
-    is_repeat: bool  # an earlier submission may have run
     task: asyncio.Task[Answer] | None = None  # None until the journal has recorded the release
     submitted_at_ms: float = 0.0
     run_state_at_cancel: RunState | None = None  # None: not cancelled
@@ -101,6 +101,8 @@
     def submit(self, job: Job, job_class: str) -> None:
         """Submit a released job in this class, a durable one once the journal has recorded its release."""
         self._submission(job.id)
+        if job.durable and not self._needs_grant(job) and has_dependents_on_any_end(job):
+            self._journal.record_submission(job)
         send = partial(self._send, job, job_class)
         if job.durable:
             self._journal.when_durable(send)
@@ -117,8 +119,7 @@
         """Return the submission of a job, which exists before its release if the job was cancelled."""
         submission = self._submissions.get(job_id)
         if submission is None:
-            is_repeat = self.grants.repeat_limit(job_id) is not None
-            submission = self._submissions[job_id] = _Submission(job_id, is_repeat)
+            submission = self._submissions[job_id] = _Submission(job_id)
         return submission
 
     def has_running_tasks(self) -> bool:
@@ -210,7 +211,7 @@
         submission = self._submissions.pop(job.id)
         now = self._clock()
         self._lease_watch.end(job.id)
-        run_state = submission.run_state_at_cancel or RunState.MAY_BE_RUNNING
+        run_state = _with_earlier_runs(job, submission.run_state_at_cancel or RunState.MAY_BE_RUNNING)
         if task.cancelled() and submission.has_expired_lease:
             self._on_lease_expired(job, run_state, now)
         elif task.cancelled():
@@ -221,24 +222,21 @@
             run_state = RunState.MAY_BE_RUNNING
             self._policy.job_ended(now, job, JobOutcome.FAILED, run_state, "internal fault")
         else:
-            self._apply_answer(job, task.result(), submission.is_repeat, now)
+            self._apply_answer(job, task.result(), now)
         self._drive(now)
 
-    def _apply_answer(self, job: Job, answer: Answer, is_repeat: bool, now: float) -> None:
-        run_state = answer.run_state
-        if is_repeat and run_state is RunState.NEVER_RAN:  # the core did not admit the request
-            run_state = RunState.MAY_BE_RUNNING
-        is_rejected = answer.kind is AnswerKind.REJECTED
-        if is_rejected and run_state is RunState.NEVER_RAN:
-            self._apply_rejection(job, answer, now)
-            return
+    def _apply_answer(self, job: Job, answer: Answer, now: float) -> None:
+        run_state = _with_earlier_runs(job, answer.run_state)
         if self._needs_grant(job) and run_state is RunState.MAY_BE_RUNNING:
-            if is_rejected:
+            if answer.kind is AnswerKind.REJECTED:
                 self._interrupt(job, answer.reason, now)
                 return
             if answer.kind is AnswerKind.FAILED:  # the core makes no further attempt
                 self._policy.job_interrupted(now, job, now, self._unknown_outcome_reason(job, answer.reason))
                 return
+        if answer.kind is AnswerKind.REJECTED and answer.run_state is RunState.NEVER_RAN:
+            self._apply_rejection(job, answer, now)
+            return
         self.answers[job.id] = WorkerAnswer(answer.body, answer.retry_after_s)
         outcome = OUTCOME_BY_ANSWER_KIND[answer.kind]
         self._policy.job_ended(now, job, outcome, run_state, answer.reason, len(answer.body))
@@ -285,13 +283,15 @@
     def _cancel(self, submission: _Submission) -> None:
         if submission.is_answered:
             return
-        run_state = self._scheduler.run_state(submission.request_id)
-        if submission.is_repeat and run_state is RunState.NEVER_RAN:  # the core has not admitted the request
-            run_state = RunState.MAY_BE_RUNNING
-        submission.run_state_at_cancel = run_state
+        submission.run_state_at_cancel = self._scheduler.run_state(submission.request_id)
         if submission.task is not None:
             submission.task.cancel()
 
 
+def _with_earlier_runs(job: Job, run_state: RunState) -> RunState:
+    """Return what is known of a job's run, given what is known of the run of its latest request."""
+    return job.run_state if run_state is RunState.NEVER_RAN else run_state
+
+
 def _mark_answered(submission: _Submission, answer: Answer) -> None:
     submission.is_answered = True
--- a/oxbowyard/waiting/dependencies.py
+++ b/oxbowyard/waiting/dependencies.py
@@ -34,6 +34,11 @@
     return condition is DependencyCondition.ENDED and run_state is not RunState.MAY_BE_RUNNING
 
 
+def has_dependents_on_any_end(job: Job) -> bool:
+    """Return whether another job waits for its end, whatever the outcome: it must be known whether it ran."""
+    return any(condition is DependencyCondition.ENDED for _, condition in job.dependents or ())
+
+
 def unsatisfied_reason(ended: Job, condition: DependencyCondition) -> str:
     """Return why an ended job does not satisfy a dependent's condition; empty if it does."""
     assert ended.outcome is not None
--- a/oxbowyard/waiting/job_intake.py
+++ b/oxbowyard/waiting/job_intake.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from ..core.request import Request
+from .dependencies import has_dependents_on_any_end
 from .grants import RepeatRules
 from .job import Job, JobRejectedError, JobSubmission, RejectionCode, WaitOptions
 from .job_ids import JobIds
@@ -67,6 +68,7 @@
         for job, submission in zip(accepted, submissions, strict=True):
             if job.durable and job.number > last_number:  # a repeated submission is recorded already
                 self._journal.record_accepted(job, submission, self._rules.needs_grant(job.job_class))
+                self.record_running_dependencies(job)
             if on_end is not None and job.outcome is None and not self._watchers.has_callback(job.id):
                 self._watchers.set_callback(job.id, on_end)
         self.accepted += len(accepted)
@@ -74,6 +76,15 @@
         self._driver.drive(now)
         return accepted
 
+    def record_running_dependencies(self, job: Job) -> None:
+        """Record that jobs whose end this one waits for, whatever the outcome, may run already."""
+        for dependency in job.dependencies:
+            known = self._policy.find(dependency.id)
+            if known is None or known.is_waiting or not known.durable:
+                continue
+            if has_dependents_on_any_end(known) and not self._rules.needs_grant(known.job_class):
+                self._journal.record_submission(known)
+
     def _submission(self, request: Request, options: WaitOptions) -> JobSubmission:
         max_wait_s = self._settings.default_patience_s if options.max_wait_s is None else options.max_wait_s
         delay_s = options.delay_s
--- a/oxbowyard/waiting/journal.py
+++ b/oxbowyard/waiting/journal.py
@@ -75,6 +75,9 @@
     def record_dependencies(self, job: Job) -> None:
         """Record the dependencies that the job still waits for."""
 
+    def record_submission(self, job: Job) -> None:
+        """Record that the job may run from now on, if none of its grants is recorded."""
+
     def record_grant(self, job: Job, grant: GrantRecord) -> None:
         """Record that the job is about to be sent to a worker."""
 
@@ -112,6 +115,9 @@
     def record_dependencies(self, job: Job) -> None:
         """Do nothing."""
 
+    def record_submission(self, job: Job) -> None:
+        """Do nothing."""
+
     def record_grant(self, job: Job, grant: GrantRecord) -> None:
         """Do nothing."""
 
--- a/oxbowyard/waiting/policy.py
+++ b/oxbowyard/waiting/policy.py
@@ -145,7 +145,7 @@
         self.rate.window(job.job_class).submitted -= 1
         state = self._state
         if not may_retry or state.is_stopping or now + backoff_ms >= job.wait_deadline_ms:
-            end_job(state, job, now, JobOutcome.REJECTED, "refused")
+            end_job(state, job, now, JobOutcome.REJECTED, "refused", job.run_state)
         else:
             wait_again(state, job, now, backoff_ms)
         self._run_due_work(now, STEPS_PER_CALL)
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import math
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -456,7 +457,7 @@
     [(1040.0, 60.0, 10.0), (1200.0, 0.0, 0.0), (-2600.0, 100.0, 50.0)],  # the wall clock stepped back an hour
 )
 def test_remaining_max_wait_and_delay_after_restart(now: float, max_wait_s: float, delay_s: float) -> None:
-    context = RecoveryContext(Moment(now))
+    context = RecoveryContext(Moment(now), repeat_window_s=0.0)
     found = recovered_state(stored(StoredState.WAITING, delay_s=50.0), [], unknown, context)
     assert (found.max_wait_s, found.delay_s, found.indeterminate_reason) == (max_wait_s, delay_s, "")
 
@@ -469,7 +470,7 @@
         "going on": UnresolvedDependency.OPEN,
     }
 
-    context = RecoveryContext(Moment(1001.0))
+    context = RecoveryContext(Moment(1001.0), repeat_window_s=math.inf)
 
     def after(*dependencies: Dependency) -> tuple[tuple[str, ...], str]:
         job = stored(StoredState.SUBMITTED)
--- a/tests/test_recovered_dependencies.py
+++ b/tests/test_recovered_dependencies.py
@@ -16,6 +16,8 @@
 from test_durable import DurableHarness, play
 from test_job_queue import FREE, ONCE, answer_ok, hang
 
+from oxbowyard.core.request import AttemptContext, AttemptOutcome, Request, RunState
+from oxbowyard.decision.facade import Result
 from oxbowyard.durable.recovery import Recovery
 from oxbowyard.waiting.job import Dependency, DependencyCondition, JobOutcome, JobState
 
@@ -192,6 +194,58 @@
     play(scene)
 
 
+@pytest.mark.parametrize("handed_in", ["before the parent is sent", "while it runs", "after a restart"])
+@pytest.mark.parametrize("end", ["expired", "cancelled"])
+def test_child_is_orphaned_by_a_repeatable_parent_that_may_still_run(
+    handed_in: str, end: str, tmp_path: Path
+) -> None:
+    # Guards against a child that waits for any end and runs beside its parent, which outlived the scheduler.
+    async def scene() -> None:
+        path = tmp_path / "jobs.db"
+        run = run_of(path, attempt=hang)
+        await run.submit("parent", "free", delay_s=0.2, max_wait_s=PARENT_WAIT_S)
+        if handed_in == "before the parent is sent":
+            await submit_after(run, "child", "parent", condition=ENDED)
+        await run.until(lambda: run.state("parent") is JobState.STARTED)
+        if handed_in == "while it runs":
+            await submit_after(run, "child", "parent", condition=ENDED)
+        elif handed_in == "after a restart":
+            run = run_of(path, 1.0, attempt=hang)
+            await run.recovery.run()
+            await run.until(lambda: run.state("parent") is JobState.STARTED)
+            await submit_after(run, "child", "parent", condition=ENDED)
+        new = run_of(path, AWAY_S if end == "expired" else 2.0, 1, workers=0)
+        await new.recovery.run()
+        new.job_queue.cancel("parent")
+        parent, child = await ends(new, "parent", "child")
+        assert parent is (JobOutcome.WAIT_EXPIRED if end == "expired" else JobOutcome.CANCELLED)
+        assert child is JobOutcome.DEPENDENCY_FAILED
+        assert new.job_queue._driver.results["parent"].run_state is RunState.MAY_BE_RUNNING
+        await new.durable_store.close()
+
+    play(scene)
+
+
+def test_parent_that_was_rejected_before_the_crash_never_ran(tmp_path: Path) -> None:
+    async def reject(backend: str, request: Request, context: AttemptContext) -> AttemptOutcome:
+        return AttemptOutcome(Result.FULL)
+
+    async def scene() -> None:
+        path = tmp_path / "jobs.db"
+        old = run_of(path, attempt=reject, retry_first_s=4.0)
+        await old.submit("parent", "free", delay_s=0.1, max_wait_s=PARENT_WAIT_S)
+        await submit_after(old, "child", "parent", condition=ENDED)
+        await old.until(lambda: old.sent and old.state("parent") is JobState.SCHEDULED)
+        await old.job_queue.intake.wait_until_durable()
+        new = run_of(path, AWAY_S)
+        await new.recovery.run()
+        assert await ends(new, "parent", "child") == [JobOutcome.WAIT_EXPIRED, JobOutcome.SERVED]
+        assert new.job_queue._driver.results["parent"].run_state is RunState.NEVER_RAN
+        await new.durable_store.close()
+
+    play(scene)
+
+
 @pytest.mark.parametrize("restarts", [1, 3])
 def test_child_outlives_the_deletion_of_its_parents_answer(restarts: int, tmp_path: Path) -> None:
     # Guards against a child that is orphaned after a restart though its parent was served.
