--- a/oxbowyard/durable/journal.py
+++ b/oxbowyard/durable/journal.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import time
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
-from ..core.request import Request, RunState
+from ..core.request import RunState
 from ..store.database import Database
 from ..store.record import (
     DependenciesChanged,
@@ -23,10 +22,7 @@
 )
 from ..store.writer import LOST_STATES, StoreHealth, Writer
 from ..waiting.job import (
-    Dependency,
-    DependencyCondition,
     Job,
-    JobOutcome,
     JobRejectedError,
     JobResult,
     JobState,
@@ -36,9 +32,10 @@
 )
 from ..waiting.journal import GrantRecord, JobRecord
 from ..waiting.journal import LeaseTable as LeaseTableProtocol
+from .encoding import encode_dependencies, encode_request, with_records_grants
 from .leases import LeaseTable
 from .machine_clock import MachineClock, first_send_at
-from .recovered_jobs import GRANTED_STATES, first_send_of, indeterminate_reason
+from .stored_jobs import job_record
 
 T = TypeVar("T")
 QUERY_RETRY_AFTER_S = 1.0
@@ -50,7 +47,6 @@
 }
 # A granted job that returns to one of these states, and of which no run is known, never ran.
 NEVER_RAN_STATES = (JobState.SCHEDULED, JobState.READY, JobState.AWAITING_IDLE)
-RECORDS_GRANTS_FIELD = "grants"  # of a stored request; missing in jobs that an earlier release accepted
 
 
 class DurableJournal:
@@ -172,8 +168,8 @@
 
     def record_rules(self, stored: StoredJob, records_grants: bool) -> None:
         """Record whether each send of a job that never ran is recorded from now on."""
-        fields = json.loads(stored.accepted.request) | {RECORDS_GRANTS_FIELD: records_grants}
-        self._writer.put(RequestChanged(stored.accepted.number, json.dumps(fields).encode()))
+        request = with_records_grants(stored, records_grants)
+        self._writer.put(RequestChanged(stored.accepted.number, request))
 
     def when_durable(self, callback: Callable[[], None]) -> None:
         """Call back after everything that was recorded so far is committed; never if that fails for good."""
@@ -218,99 +214,3 @@
 
 def _never_ran(change: StateChanged) -> bool:
     return change.state in NEVER_RAN_STATES and change.job.run_state is RunState.NEVER_RAN
-
-
-def encode_request(request: Request, records_grants: bool | None = None) -> bytes:
-    """Encode the fields of a request that are not stored in columns of their own.
-
-    `records_grants` says whether each send of the job is recorded first; None: as an earlier release had it.
-    """
-    fields: dict[str, object] = {
-        "target": request.target,
-        "key": request.key,
-        "slots": request.slots,
-        "extras": dict(request.extras),
-    }
-    if records_grants is not None:
-        fields[RECORDS_GRANTS_FIELD] = records_grants
-    return json.dumps(fields).encode()
-
-
-def decode_request(stored: StoredJob, deadline_s: float) -> Request:
-    """Decode the request of a stored job; `deadline_s` is the time limit for running it."""
-    accepted = stored.accepted
-    fields = json.loads(accepted.request)
-    return Request(
-        id=accepted.id,
-        job_class=accepted.job_class,
-        timeout_s=deadline_s,
-        target=fields["target"],
-        payload=accepted.payload,
-        key=fields["key"],
-        tenant=accepted.tenant or None,
-        slots=fields["slots"],
-        extras=fields["extras"],
-        idempotency_key=accepted.idempotency_key,
-    )
-
-
-def decode_records_grants(stored: StoredJob) -> bool | None:
-    """Return whether each send of a stored job is recorded first; None if an earlier release accepted it."""
-    records_grants: bool | None = json.loads(stored.accepted.request).get(RECORDS_GRANTS_FIELD)
-    return records_grants
-
-
-def encode_dependencies(dependencies: Sequence[Dependency]) -> bytes:
-    """Encode the dependencies of a job."""
-    return json.dumps([[d.id, d.condition.value] for d in dependencies]).encode()
-
-
-def decode_dependencies(stored: StoredJob) -> list[Dependency]:
-    """Decode the dependencies of a stored job."""
-    rows = json.loads(stored.accepted.dependencies)
-    return [Dependency(id_, DependencyCondition(condition)) for id_, condition in rows]
-
-
-def job_record(stored: StoredJob, by_idempotency_key: bool) -> JobRecord:
-    """Convert a stored job to the queue's record of it."""
-    job = _job(stored)
-    ended = stored.ended
-    if ended is None:
-        if stored.state in GRANTED_STATES:
-            job.run_state = RunState.MAY_BE_RUNNING
-            if first_send_of(stored) is not None:
-                job.state = JobState.SUBMITTED
-            else:
-                job.state = JobState.INDETERMINATE
-                job.reason = indeterminate_reason(stored.lease)
-        return JobRecord(job, None, by_idempotency_key)
-    job.state = JobState.ENDED
-    job.outcome = JobOutcome(ended.outcome)
-    job.run_state = RunState(ended.run_state)
-    job.reason = ended.reason
-    result = JobResult(
-        job.outcome, job.run_state, ended.result, ended.reason, ended.retry_after_s, ended.resolved_by
-    )
-    return JobRecord(job, result, by_idempotency_key)
-
-
-def _job(stored: StoredJob) -> Job:
-    accepted = stored.accepted
-    return Job(
-        accepted.id,
-        accepted.job_class,
-        accepted.tenant,
-        len(accepted.payload),
-        accepted.number,
-        accepted_at_ms=0.0,
-        wait_deadline_ms=0.0,
-        not_before_ms=0.0,
-        state=JobState.BLOCKED,
-        wait_for_idle=accepted.wait_for_idle,
-        priority=accepted.priority,
-        idempotency_key=accepted.idempotency_key,
-        fingerprint=accepted.fingerprint,
-        request=None,
-        durable=True,
-        submission_count=stored.submission_count,
-    )
--- a/oxbowyard/durable/recovered_jobs.py
+++ b/oxbowyard/durable/recovered_jobs.py
@@ -53,7 +53,7 @@
 
     now: Moment
     repeat_window_s: float  # of its class, by the settings now; 0: never, infinite: always
-    records_grants: bool | None = None  # see `journal.decode_records_grants`
+    records_grants: bool | None = None  # see `encoding.decode_records_grants`
 
 
 def recovered_state(
--- a/oxbowyard/durable/recovery.py
+++ b/oxbowyard/durable/recovery.py
@@ -16,7 +16,8 @@
 from ..waiting.grants import RepeatLimit
 from ..waiting.job import Dependency, JobOutcome, JobState, JobSubmission, RestoredJob
 from ..waiting.job_queue import JobQueue
-from .journal import DurableJournal, decode_dependencies, decode_records_grants, decode_request
+from .encoding import decode_dependencies, decode_records_grants, decode_request
+from .journal import DurableJournal
 from .recovered_jobs import RecoveredState, RecoveryContext, UnresolvedDependency, recovered_state
 
 log = logging.getLogger("oxbowyard.durable")
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -27,7 +27,7 @@
 from oxbowyard.decision.settings import JobClass, RetrySafety, Settings
 from oxbowyard.discovery.endpoint_list import parse_endpoint_list
 from oxbowyard.discovery.registry import Registry
-from oxbowyard.durable.journal import decode_dependencies, decode_request, encode_request
+from oxbowyard.durable.encoding import decode_dependencies, decode_request, encode_request
 from oxbowyard.handover.learned import decode, encode
 from oxbowyard.operator.file import OperatorConfig, OperatorFileError, load
 from oxbowyard.start.snapshot_file import read_snapshot, write_snapshot
