A repeat keeps the first window also where this run would need no grant for it

Change: the limit is restored with or without a lease, and a job with a limit needs a grant whatever its class.

--- a/oxbowyard/waiting/core_submissions.py
+++ b/oxbowyard/waiting/core_submissions.py
@@ -170,7 +170,10 @@
         )
 
     def _needs_grant(self, job: Job) -> bool:
-        return job.durable and self._rules.needs_grant(job.job_class)
+        """Return whether a repeat of the job may do harm, by its class or by what an earlier run recorded."""
+        if not job.durable:
+            return False
+        return self._rules.needs_grant(job.job_class) or self.grants.repeat_limit(job.id) is not None
 
     def _record_lease(self, job: Job, lease: str, worker: str, then: Callable[[], None]) -> None:
         """Record the lease before a worker gets a job whose repeat may do harm, then call `then`."""
@@ -252,7 +255,7 @@
     def _interrupt(self, job: Job, why: str, now: float) -> None:
         """Let a job that may have run be repeated while that is harmless; afterwards it is indeterminate."""
         deadline_ms = math.inf
-        if self._rules.needs_grant(job.job_class):
+        if self._needs_grant(job):
             repeat = self.grants.repeat_limit(job.id)
             left_s = repeat.deadline_s - self._loop.time() if repeat is not None else 0.0
             deadline_ms = now + left_s * MS_PER_S
--- a/oxbowyard/waiting/job_queue.py
+++ b/oxbowyard/waiting/job_queue.py
@@ -248,7 +248,7 @@
         now, id_ = self._clock(), restored.submission.id
         self._driver.mark_busy()
         restored = replace(restored, submission=self._attach_to_front(restored.submission))
-        if lease:
+        if lease or repeat is not None:
             self._submissions.grants.restore(id_, lease, repeat)
         if repeat is not None:
             left_s = repeat.deadline_s - asyncio.get_running_loop().time()
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -67,6 +67,16 @@
     return AttemptOutcome(Result.FULL)
 
 
+def silent_first(answered: list[str]) -> Any:
+    """Return an attempt that says nothing the first time, and answers a repeat."""
+
+    async def attempt(backend: str, request: Request, context: AttemptContext) -> AttemptOutcome:
+        answered.append(request.id)
+        return await (hang if len(answered) == 1 else answer_ok)(backend, request, context)
+
+    return attempt
+
+
 @pytest.mark.parametrize("restarts", [1, 2])
 def test_job_is_not_sent_again_after_its_repeat_window(restarts: int, tmp_path: Path) -> None:
     # Guards against a keyed job that runs twice: sent, crash, and sent again once workers forgot its key.
@@ -222,6 +232,27 @@
     play(scene)
 
 
+@pytest.mark.parametrize("earlier_release", [True, False])
+def test_repeat_that_was_sent_itself_keeps_the_first_window(earlier_release: bool, tmp_path: Path) -> None:
+    # Guards against a window that begins anew because the first send has no grant or its class changed.
+    async def scene() -> None:
+        path = tmp_path / "jobs.db"
+        old = await sent_before_crash(path)
+        await old.durable_store.close()
+        if earlier_release:
+            make_store_of_earlier_release(path)
+        job_class = GUARDED if earlier_release else ALWAYS
+        sent: list[str] = []
+        second = run_of(path, WINDOW_S - 0.6, job_class, attempt=silent_first(sent), lease_s=0.8)
+        assert await recovered_state(second) is JobState.INDETERMINATE
+        assert sent == ["a"] and second.sent == ["a"]
+        third = run_of(path, TOO_LATE_S, job_class)
+        assert await recovered_state(third) is JobState.INDETERMINATE and third.sent == []
+        await third.durable_store.close()
+
+    play(scene)
+
+
 @pytest.mark.parametrize("change", ["clock stepped back", "machine restarted", "uptime went back"])
 def test_time_away_that_no_clock_tells_allows_no_repeat(
     change: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
@@ -259,16 +290,6 @@
     play(scene)
 
 
-def silent_first(answered: list[str]) -> Any:
-    """Return an attempt that says nothing the first time, and answers a repeat."""
-
-    async def attempt(backend: str, request: Request, context: AttemptContext) -> AttemptOutcome:
-        answered.append(request.id)
-        return await (hang if len(answered) == 1 else answer_ok)(backend, request, context)
-
-    return attempt
-
-
 @pytest.mark.parametrize(("lease_s", "window_s"), [(0.2, 5.0), (0.3, 0.2)])
 def test_silent_worker_lets_a_job_be_repeated_only_within_its_window(
     lease_s: float, window_s: float, tmp_path: Path
