A job that only this run sent is answered at its deadline as before

The fix of the repeat window had put a deduplicated job whose end was not seen by its deadline in doubt, or repeated it, where callers had an answer in time so far ("refused" or "failed", with ran "open"). Only what an earlier run or a worker that fell silent may have run needs the doubt: such a job's "refused" would promise that a repeat is harmless for as long as the answer is kept.

--- a/oxbowyard/waiting/core_submissions.py
+++ b/oxbowyard/waiting/core_submissions.py
@@ -231,10 +231,10 @@
     def _apply_answer(self, job: Job, answer: Answer, now: float) -> None:
         run_state = _with_earlier_runs(job, answer.run_state)
         if self._needs_grant(job) and run_state is RunState.MAY_BE_RUNNING:
-            if answer.kind is AnswerKind.REJECTED:
-                self._interrupt(job, answer.reason, now)
+            if answer.kind is AnswerKind.REJECTED and job.run_state is not RunState.NEVER_RAN:
+                self._interrupt(job, answer.reason, now)  # "refused" would promise that a repeat is harmless
                 return
-            if answer.kind is AnswerKind.FAILED:  # the core makes no further attempt
+            if answer.kind is AnswerKind.FAILED and not self._rules.window_s(job.job_class):
                 self._policy.job_interrupted(now, job, now, self._unknown_outcome_reason(job, answer.reason))
                 return
         if answer.kind is AnswerKind.REJECTED and answer.run_state is RunState.NEVER_RAN:
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -326,6 +326,24 @@
     play(scene)
 
 
+@pytest.mark.parametrize(
+    ("job_class", "expected"), [(GUARDED, JobOutcome.REJECTED), (NEVER, JobState.INDETERMINATE)]
+)
+def test_deadline_without_an_end_ends_a_job_that_workers_deduplicate(
+    job_class: JobClass, expected: JobState | JobOutcome, tmp_path: Path
+) -> None:
+    async def scene() -> None:
+        brief = replace(job_class, deadline_ms=200.0)
+        run = run_of(tmp_path / "jobs.db", job_class=brief, attempt=hang)
+        await run.submit("a", "job")
+        await run.until(lambda: run.state("a") is expected)
+        job = run.job_queue.find("a")
+        assert job is not None and job.run_state.value == "open" and run.sent == ["a"]
+        await run.durable_store.close()
+
+    play(scene)
+
+
 def test_shutdown_leaves_an_interrupted_job_to_the_next_run(tmp_path: Path) -> None:
     async def scene() -> None:
         path = tmp_path / "jobs.db"
