A child that waits for any end leaves the grant of an earlier run on record

Measured: test_child_that_waits_for_any_end_leaves_the_record_of_the_first_send fails before (served again after its window), passes with this; 75 tests of durable jobs pass.

--- a/oxbowyard/durable/journal.py
+++ b/oxbowyard/durable/journal.py
@@ -154,7 +154,7 @@
 
     def record_submission(self, job: Job) -> None:
         """Record that the job may run from now on, if none of its grants is recorded."""
-        if job.number not in self._submitted:
+        if job.number not in self._submitted and job.number not in self._granted:
             self._submitted.add(job.number)
             self._put_state(job, StoredState.SUBMITTED)
 
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -20,7 +20,7 @@
 from oxbowyard.core.request import AttemptContext, AttemptOutcome, Request
 from oxbowyard.decision.facade import Result
 from oxbowyard.decision.settings import JobClass, RetrySafety
-from oxbowyard.waiting.job import JobOutcome, JobState
+from oxbowyard.waiting.job import Dependency, DependencyCondition, JobOutcome, JobState
 
 WINDOW_S = 7.5
 IN_TIME_S, TOO_LATE_S = 4.0, 9.0
@@ -253,6 +253,23 @@
     play(scene)
 
 
+def test_child_that_waits_for_any_end_leaves_the_record_of_the_first_send(tmp_path: Path) -> None:
+    # Guards against a release that is recorded in place of the grant of an earlier run.
+    async def scene() -> None:
+        path = tmp_path / "jobs.db"
+        await sent_before_crash(path)
+        second = run_of(path, IN_TIME_S, ALWAYS, attempt=hang)
+        await second.recovery.run()
+        await second.until(lambda: second.state("a") is JobState.STARTED)
+        await second.submit("b", "job", dependencies=(Dependency("a", DependencyCondition.ENDED),))
+        third = run_of(path, TOO_LATE_S, ALWAYS)
+        assert await recovered_state(third) is JobState.INDETERMINATE
+        assert third.state("b") is JobState.BLOCKED
+        await third.durable_store.close()
+
+    play(scene)
+
+
 @pytest.mark.parametrize("change", ["clock stepped back", "machine restarted", "uptime went back"])
 def test_time_away_that_no_clock_tells_allows_no_repeat(
     change: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
