--- a/oxbowyard/durable/recovery.py
+++ b/oxbowyard/durable/recovery.py
@@ -92,7 +92,8 @@
         while page := await self._read_page(after, last):
             after = page[-1].stored.accepted.number
             for found in page:
-                await self._read_stale_outcomes(found)
+                if found.dependencies:
+                    await self._read_stale_outcomes(found)
                 self._restore(found)
             await asyncio.sleep(0)
             while self._queue.held.jobs >= self._queue.settings.max_jobs:
@@ -155,8 +156,9 @@
             return
         if self._queue.find(accepted.id) is not None:
             return
-        state = self._recovered_state(found)
-        self._restore_grant_records(stored, state)
+        records_grants = decode_records_grants(stored)
+        state = self._recovered_state(found, records_grants)
+        self._restore_grant_records(stored, state, records_grants)
         failed = state.failed_dependency
         failure = f"{failed} has ended, or is no longer known" if failed else ""
         restored = RestoredJob(
@@ -179,16 +181,18 @@
         else:
             self.counts.resumed += 1
 
-    def _recovered_state(self, found: FoundJob) -> RecoveredState:
+    def _recovered_state(self, found: FoundJob, records_grants: bool | None) -> RecoveredState:
         stored = found.stored
         context = RecoveryContext(
             self._journal.machine_clock.now(),
             self._queue.repeat_rules.window_s(stored.accepted.job_class),
-            decode_records_grants(stored),
+            records_grants,
         )
         return recovered_state(stored, found.dependencies, found.find_outcome, context)
 
-    def _restore_grant_records(self, stored: StoredJob, state: RecoveredState) -> None:
+    def _restore_grant_records(
+        self, stored: StoredJob, state: RecoveredState, records_grants: bool | None
+    ) -> None:
         """Bring the journal's record of the job's grants in line with the settings of this run."""
         number = stored.accepted.number
         needs_grant = self._queue.repeat_rules.needs_grant(stored.accepted.job_class)
@@ -196,7 +200,7 @@
             self._journal.restore_grant(number, state.first_send)
         elif state.may_have_run:
             self._journal.restore_submission(number)
-        elif decode_records_grants(stored) is not needs_grant:
+        elif records_grants is not needs_grant:
             self._journal.record_rules(stored, needs_grant)
 
 
