A second upgrade does not take what the release between may have sent for unsent

Found on reading the whole change once more, before any caller saw it.

Cause: a job that this release accepted says in its stored request that each send of it is recorded first. An earlier release that opens the store in between (a way back) sends a job that all workers deduplicate without a record, so that the next run of this one took it for unsent and sent it at any time.

Change: the store's table meta notes the epoch of the last opening by a release that records all grants; if an earlier one opened the store since, what the jobs say is not relied on. A job that may have been sent so, and goes on within its window, is recorded as one that may have run before it is sent again. No table or column is new, and earlier releases ignore the row. Two comments moved to lines of their own.

--- a/oxbowyard/durable/durable_store.py
+++ b/oxbowyard/durable/durable_store.py
@@ -31,6 +31,7 @@
         try:
             database = Database(Path(settings.path), settings.max_store_bytes, take_over)
             self.last_number = database.last_number()
+            self._grants_are_complete = database.grants_are_complete
         except StoreError as error:
             raise StoreOpenError(f"store: {error}") from None
         self._queue: JobQueue | None = None
@@ -53,7 +54,8 @@
     def recovery(self, queue: JobQueue, deadlines_s: Mapping[str, float]) -> Recovery:
         """Return the recovery of the jobs of earlier runs; `deadlines_s` are the deadlines by class."""
         self._queue = queue
-        return Recovery(queue, self._writer, deadlines_s, self._settings.read_at_once, self.journal)
+        page_size = self._settings.read_at_once
+        return Recovery(queue, self._writer, deadlines_s, page_size, self.journal, self._grants_are_complete)
 
     def summary(self) -> str:
         """Summarize the store's health and its commits so far in one line, for the log."""
--- a/oxbowyard/durable/journal.py
+++ b/oxbowyard/durable/journal.py
@@ -71,9 +71,8 @@
         self.machine_clock = MachineClock(wall_clock)
         # By the number of each job with a recorded grant; None: it must not be sent again.
         self._granted: dict[int, FirstSend | None] = {}
-        self._submitted: set[int] = (
-            set()
-        )  # numbers of the jobs that are recorded as submitted without a grant
+        # Numbers of the jobs that are recorded as submitted without a grant.
+        self._submitted: set[int] = set()
 
     def rejection_reason(self) -> str:
         """Return why no durable jobs are accepted; empty if they are."""
@@ -166,6 +165,11 @@
         """Note a job of an earlier run that is recorded as submitted without a grant."""
         self._submitted.add(number)
 
+    def record_unrecorded_send(self, stored: StoredJob) -> None:
+        """Record that an earlier release may have sent the job, before this run sends it with a grant."""
+        number, count = stored.accepted.number, stored.submission_count
+        self._writer.put(JobStateChanged(number, StoredState.SUBMITTED, count))
+
     def record_rules(self, stored: StoredJob, records_grants: bool) -> None:
         """Record whether each send of a job that never ran is recorded from now on."""
         request = with_records_grants(stored, records_grants)
--- a/oxbowyard/durable/recovery.py
+++ b/oxbowyard/durable/recovery.py
@@ -64,11 +64,13 @@
         deadlines_s: Mapping[str, float],
         page_size: int,
         journal: DurableJournal,
+        grants_are_complete: bool,
     ) -> None:
-        """`deadlines_s` are the deadlines by class."""
+        """`deadlines_s` are the deadlines by class; see `Database.grants_are_complete`."""
         self._queue = queue
         self._writer = writer
         self._journal = journal
+        self._grants_are_complete = grants_are_complete
         self._deadlines_s = deadlines_s
         self._page_size = page_size
         self.counts = RecoveryCounts()
@@ -157,6 +159,8 @@
         if self._queue.find(accepted.id) is not None:
             return
         records_grants = decode_records_grants(stored)
+        if records_grants and not self._grants_are_complete:
+            records_grants = None
         state = self._recovered_state(found, records_grants)
         self._restore_grant_records(stored, state, records_grants)
         failed = state.failed_dependency
@@ -197,6 +201,8 @@
         number = stored.accepted.number
         needs_grant = self._queue.repeat_rules.needs_grant(stored.accepted.job_class)
         if state.first_send is not None or state.indeterminate_reason:
+            if state.first_send is not None and stored.lease is None:
+                self._journal.record_unrecorded_send(stored)
             self._journal.restore_grant(number, state.first_send)
         elif state.may_have_run:
             self._journal.restore_submission(number)
--- a/oxbowyard/store/database.py
+++ b/oxbowyard/store/database.py
@@ -53,6 +53,9 @@
         self.path = path
         self._max_bytes = max_bytes
         self._connect = connect
+        self.grants_are_complete = (
+            False  # no release that records fewer grants was the last to open the store
+        )
         self._lock = StoreLock(lock_path(path), take_over)
         try:
             self._db = self._open()
@@ -121,8 +124,13 @@
 
     def _increment_epoch(self) -> int:
         with store_errors(), _transaction(self._db):
+            previous = fetch_scalar(self._db, schema.SELECT_EPOCH)
+            grants_epoch = self._db.execute(schema.SELECT_GRANTS_EPOCH).fetchone()
+            self.grants_are_complete = not previous or grants_epoch == (previous,)
             self._db.execute(schema.INCREMENT_EPOCH)
-            return fetch_scalar(self._db, schema.SELECT_EPOCH)
+            epoch = fetch_scalar(self._db, schema.SELECT_EPOCH)
+            self._db.execute(schema.SET_GRANTS_EPOCH, (epoch,))
+            return epoch
 
     def reopen(self) -> None:
         """Reopen the file after a disk error, because cached pages may differ from those on disk."""
--- a/oxbowyard/store/schema.py
+++ b/oxbowyard/store/schema.py
@@ -58,6 +58,9 @@
 COUNT_JOBS = "SELECT count(*) FROM jobs"
 LAST_NUMBER = "SELECT coalesce(max(number), 0) FROM jobs"
 SELECT_EPOCH = "SELECT value FROM meta WHERE key = 'epoch'"
+# The epoch in which a release opened the store that records all grants. It lags if an earlier one did since.
+SELECT_GRANTS_EPOCH = "SELECT value FROM meta WHERE key = 'grants_epoch'"
+SET_GRANTS_EPOCH = "INSERT OR REPLACE INTO meta VALUES ('grants_epoch', ?)"
 INCREMENT_EPOCH = "UPDATE meta SET value = value + 1 WHERE key = 'epoch'"
 
 
--- a/oxbowyard/waiting/journal.py
+++ b/oxbowyard/waiting/journal.py
@@ -44,9 +44,8 @@
     worker: str
     lease: str
     request_id: str  # the request's id at the worker
-    repeat_window_s: (
-        float  # how long a repeat is harmless, from the first send that may have run; 0: never is
-    )
+    # How long a repeat is harmless, from the first send that may have run; 0: it never is.
+    repeat_window_s: float
     is_repeat: bool  # an earlier send may have run, so the window has begun already
 
 
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -270,6 +270,36 @@
     play(scene)
 
 
+@pytest.mark.parametrize("restarts", [1, 2])
+@pytest.mark.parametrize(
+    ("away_s", "expected"), [(IN_TIME_S, JobOutcome.SERVED), (TOO_LATE_S, JobState.INDETERMINATE)]
+)
+def test_job_that_an_earlier_release_may_have_sent_in_between_is_not_taken_as_unsent(
+    away_s: float, expected: JobState | JobOutcome, restarts: int, tmp_path: Path
+) -> None:
+    # Guards against an upgrade, a way back and a second upgrade: the release between recorded no sends.
+    async def scene() -> None:
+        path = tmp_path / "jobs.db"
+        first = run_of(path, workers=0)
+        await first.submit("a", "job")
+        await first.durable_store.close()
+        database = sqlite3.connect(path)
+        database.execute("UPDATE meta SET value = value + 1 WHERE key = 'epoch'")  # it opened the store
+        database.commit()
+        database.close()
+        for _ in range(restarts - 1):
+            unsent = run_of(path, 1.0, workers=0)
+            await unsent.recovery.run()
+            await unsent.job_queue.intake.wait_until_durable()
+        new = run_of(path, away_s)
+        found = await recovered_state(new)
+        assert found is (expected if restarts == 1 else JobState.INDETERMINATE)
+        assert new.sent == (["a"] if found is JobOutcome.SERVED else [])
+        await new.durable_store.close()
+
+    play(scene)
+
+
 @pytest.mark.parametrize("change", ["clock stepped back", "machine restarted", "uptime went back"])
 def test_time_away_that_no_clock_tells_allows_no_repeat(
     change: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
