--- a/benchmarks/daemon_process.py
+++ b/benchmarks/daemon_process.py
@@ -43,6 +43,10 @@
             time.sleep(0.02)
         raise RuntimeError(f"no match of {pattern!r} in the daemon's log:\n{self._log.read_text()}")
 
+    def log(self) -> str:
+        """Return the daemon's log so far."""
+        return self._log.read_text(errors="replace")
+
     def address(self, front: str) -> tuple[str, int]:
         """Return the host and port on which a front listens."""
         found = self.wait_for(rf"{front} listens on ([\d.]+):(\d+)")
