--- a/benchmarks/daemon_process.py
+++ b/benchmarks/daemon_process.py
@@ -31,7 +31,7 @@
         with self._log.open("w") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "oxbowyard", *options], cwd=ROOT, stderr=log,
-                env={**os.environ, "LB_CONFIG": str(path)},
+                env={**os.environ, "LB_CONFIG": str(path), "TMPDIR": str(folder)},
             )  # fmt: skip
 
     def wait_for(self, pattern: str) -> re.Match[str]:
--- a/benchmarks/hostile/forms.py
+++ b/benchmarks/hostile/forms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import os
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -52,19 +53,24 @@
     repeats: bool = False
 
 
+def _new_id() -> bytes:
+    """Return an id that no process has sent."""
+    return b"%d-%d" % (os.getpid(), next(_numbers))
+
+
 def job(body: bytes = b"x", more: bytes = b"", length: int | None = None, kind: bytes = b"preview") -> bytes:
     """Return one complete job request with a new id; `length` is announced in place of the body's."""
     size = len(body) if length is None else length
     return (
-        b"POST /%s?obj=%d HTTP/1.1\r\nHost: a\r\nReq-Id: h%d\r\nReq-Kind: %s\r\nReq-Deadline: 9000m\r\n"
-        b"%sContent-Length: %d\r\n\r\n%s" % (kind, next(_numbers), next(_numbers), kind, more, size, body)
+        b"POST /%s?obj=%d HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Deadline: 9000m\r\n"
+        b"%sContent-Length: %d\r\n\r\n%s" % (kind, next(_numbers), _new_id(), kind, more, size, body)
     )
 
 
 def _chunked_head() -> bytes:
     return (
-        b"POST /preview?obj=1 HTTP/1.1\r\nHost: a\r\nReq-Id: h%d\r\nReq-Kind: preview\r\n"
-        b"Req-Deadline: 9000m\r\nTransfer-Encoding: chunked\r\n\r\n" % next(_numbers)
+        b"POST /preview?obj=1 HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: preview\r\n"
+        b"Req-Deadline: 9000m\r\nTransfer-Encoding: chunked\r\n\r\n" % _new_id()
     )
 
 
--- a/benchmarks/hostile/peers.py
+++ b/benchmarks/hostile/peers.py
@@ -50,8 +50,9 @@
         finally:
             sending.cancel()
             writer.transport.abort()
-            with contextlib.suppress(OSError, asyncio.CancelledError):
-                await sending
+            await asyncio.wait({sending})
+            if not sending.cancelled():
+                sending.exception()  # the daemon closed the connection
 
     async def _send(self, writer: asyncio.StreamWriter) -> None:
         writer.write(self._form.first())
--- a/oxbowyard/clients/client_connections.py
+++ b/oxbowyard/clients/client_connections.py
@@ -9,14 +9,15 @@
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
 
+from ..core.memory_budget import MemoryBudget
 from ..core.scheduler import Scheduler
-from ..listeners.disconnects import is_readable
-from .body_memory import BodyMemory
-from .connection import Connection, Phase
+from ..listeners.fair_queue import FairQueue
+from .connection import Phase
 from .connection_set import ConnectionSet
 from .errors import MethodNotAllowedError, RequestError
-from .eviction import select_connection_to_evict
+from .eviction import select_connection_to_evict, select_connections_to_give_way, select_connections_to_retire
 from .request_handler import serve_request
+from .request_input import RequestInput
 from .responses import error_response
 
 log = logging.getLogger("oxbowyard.clients")
@@ -25,7 +26,7 @@
 JOBS_PATH = "/jobs"  # served only where deferred jobs are enabled
 
 # Answers a request under JOBS_PATH. May raise RequestError.
-JobsHandler = Callable[[BaseRequest, BodyMemory | None], Awaitable[web.StreamResponse]]
+JobsHandler = Callable[[BaseRequest, MemoryBudget | None], Awaitable[web.StreamResponse]]
 
 
 def is_jobs_path(target: str) -> bool:
@@ -43,7 +44,8 @@
         classes: Collection[str],
         is_up: Callable[[], bool],
         max_connections: int,
-        max_body_memory_bytes: int,
+        memory: MemoryBudget,
+        input_queue: FairQueue,
         jobs_handler: JobsHandler | None = None,
     ) -> None:
         """Create the connection set of one listener.
@@ -53,19 +55,20 @@
             classes: The job classes that clients may name. A change of settings replaces them.
             is_up: Returns whether the scheduler is ready for clients.
             max_connections: The maximum number of open connections.
-            max_body_memory_bytes: The maximum total size of the bodies of all requests in progress.
+            memory: The budget that the connections and their requests draw from.
+            input_queue: Shares the event loop's time between the connections.
             jobs_handler: Answers requests under `/jobs`; None if deferred jobs are disabled.
         """
-        super().__init__(self._handle, max_connections)
+        super().__init__(self._handle, max_connections, memory, input_queue)
+        memory.reclaimers.append(self._reclaim)
         self._scheduler = scheduler
         self.classes = classes
         self._is_up = is_up
-        self._body_memory = BodyMemory(max_body_memory_bytes)
         self._jobs_handler = jobs_handler
         self._is_draining = False
         self._all_closed: asyncio.Future[None] | None = None  # awaited by `close`
 
-    def on_connection_lost(self, connection: Connection) -> None:
+    def on_connection_lost(self, connection: RequestInput) -> None:
         """Remove a closed connection from the set."""
         super().on_connection_lost(connection)
         if not self._open and self._all_closed is not None and not self._all_closed.done():
@@ -78,12 +81,19 @@
             Whether there was a connection that may be closed.
         """
         now = asyncio.get_running_loop().time()
-        evicted = select_connection_to_evict(self._open, self._max_connections, now)
+        evicted = select_connection_to_evict(self._open, self._connection_limit, now)
         if evicted is None:
+            for connection in select_connections_to_retire(self._open):
+                connection.close_after_response()
             return False
         self._evict(evicted)
         return True
 
+    def _reclaim(self, size_bytes: int) -> None:
+        """Release about `size_bytes` of memory, from the clients that `clients.eviction` selects."""
+        for connection in select_connections_to_give_way(self._open, size_bytes):
+            connection.give_way()
+
     def start_draining(self) -> None:
         """Close each connection after its next response."""
         self._is_draining = True
@@ -97,7 +107,7 @@
 
         HTTP allows a server to close an idle connection: a client whose request crosses the close retries it.
         """
-        idle = [c for c in self._open if c.phase is Phase.KEEP_ALIVE and not is_readable(c.transport)]
+        idle = [c for c in self._open if c.phase is Phase.KEEP_ALIVE and not c.has_unread_request]
         for connection in idle:
             connection.force_close()
 
@@ -135,8 +145,8 @@
         if target.partition("?")[0] == READINESS_PATH:
             return self._readiness(request)
         if self._jobs_handler is not None and is_jobs_path(target):
-            return await self._jobs_handler(request, self._body_memory)
-        return await serve_request(request, self._scheduler, self.classes, self._body_memory)
+            return await self._jobs_handler(request, self._memory)
+        return await serve_request(request, self._scheduler, self.classes, self._memory)
 
     def _readiness(self, request: BaseRequest) -> web.StreamResponse:
         if request.method not in ("GET", "HEAD"):
--- a/oxbowyard/clients/errors.py
+++ b/oxbowyard/clients/errors.py
@@ -48,7 +48,7 @@
     status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
-class BodyMemoryFullError(RequestError):
-    """The memory for request bodies is exhausted. The request is safe to retry."""
+class RequestMemoryFullError(RequestError):
+    """The memory for requests is exhausted. The request is safe to retry."""
 
     status = HTTPStatus.SERVICE_UNAVAILABLE
--- a/oxbowyard/clients/job_routes.py
+++ b/oxbowyard/clients/job_routes.py
@@ -6,17 +6,16 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from contextlib import nullcontext
 from urllib.parse import parse_qs
 
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
 
+from ..core.memory_budget import MemoryBudget
 from ..core.request import AnswerKind, RunState
 from ..waiting.job import Job, JobOutcome, JobRejectedError, JobResult, JobState, RejectionCode
 from ..waiting.job_queue import JobQueue
 from ..waiting.journal import JobRecord
-from .body_memory import BodyMemory
 from .client_connections import JOBS_PATH
 from .errors import MethodNotAllowedError, PathNotFoundError
 from .job_documents import (
@@ -38,7 +37,7 @@
     parse_page,
     parse_wait_ms,
 )
-from .request_handler import check_body_size, read_body
+from .request_handler import check_body_size, read_body, reserve_memory
 from .request_parsing import split_target
 from .responses import STATUS_BY_ANSWER, KeepAliveResponse, answer_headers
 
@@ -64,15 +63,13 @@
         self._may_resolve = may_resolve
         self._parser = SubmissionParser(classes, queue.ids)
 
-    async def __call__(
-        self, request: BaseRequest, body_memory: BodyMemory | None = None
-    ) -> web.StreamResponse:
-        """Answer one request. Memory for its body is reserved in `body_memory`. Raises RequestError."""
+    async def __call__(self, request: BaseRequest, memory: MemoryBudget | None = None) -> web.StreamResponse:
+        """Answer one request. It draws from the budget `memory`. Raises RequestError."""
         path, query = split_target(request.raw_path)
         segments = path[len(JOBS_PATH) :].strip("/").split("/") if path != JOBS_PATH else []
         max_bytes = self._queue.settings.max_body_bytes
         size_bytes = check_body_size(request, max_bytes)
-        with body_memory.reserve(size_bytes) if body_memory else nullcontext():
+        with reserve_memory(request, memory, size_bytes):
             body = await read_body(request, max_bytes)  # for every method: this completes the request
             try:
                 return await self._route(request, segments, parse_qs(query), body)
--- a/oxbowyard/clients/request_handler.py
+++ b/oxbowyard/clients/request_handler.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
-from contextlib import nullcontext
+from collections.abc import Collection, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
 
+from ..core.memory_budget import Holder, MemoryBudget
 from ..core.scheduler import Scheduler
 from ..listeners.disconnects import peer_disconnected
-from .body_memory import BodyMemory
-from .connection import Connection, abort_body
-from .errors import BadRequestError, BodyTimeoutError, BodyTooLargeError
+from .connection import Connection
+from .errors import BadRequestError, BodyTimeoutError, BodyTooLargeError, RequestMemoryFullError
 from .limits import MAX_BODY_BYTES, REQUEST_TIMEOUT_S
+from .memory_costs import BODY_COPIES, OPEN_REQUEST_BYTES
+from .request_input import abort_body
 from .request_parsing import parse_class, parse_request, single_header, split_target
 from .responses import answer_response
 
@@ -26,7 +28,7 @@
     http_request: BaseRequest,
     scheduler: Scheduler,
     classes: Collection[str],
-    body_memory: BodyMemory | None = None,
+    memory: MemoryBudget | None = None,
 ) -> web.Response:
     """Read, schedule and answer one request.
 
@@ -34,7 +36,7 @@
         http_request: The request; its body must not have been read yet.
         scheduler: The scheduler core.
         classes: The job classes that clients may name.
-        body_memory: The budget in which memory for the body is reserved; None for no limit.
+        memory: The budget that the request draws from; None for no limit.
 
     Raises:
         RequestError: The request is rejected.
@@ -45,7 +47,7 @@
     size_bytes = MAX_BODY_BYTES if http_request.content_length is None else http_request.content_length
     if size_bytes > MAX_BODY_BYTES:
         raise _body_too_large(MAX_BODY_BYTES)
-    with body_memory.reserve(size_bytes) if body_memory else nullcontext():
+    with reserve_memory(http_request, memory, size_bytes):
         payload = await read_body(http_request)
         request = parse_request(
             http_request.method, http_request.raw_path, http_request.headers, payload, classes
@@ -55,12 +57,37 @@
     return answer_response(answer)
 
 
+@contextmanager
+def reserve_memory(request: BaseRequest, memory: MemoryBudget | None, body_bytes: int) -> Iterator[None]:
+    """Reserve memory for a request with a body of up to `body_bytes` for the duration of the context.
+
+    Raises:
+        RequestMemoryFullError: There is too little.
+    """
+    if memory is None:
+        yield
+        return
+    reservation = memory.open(Holder.REQUESTS)
+    if not reservation.try_resize(OPEN_REQUEST_BYTES + BODY_COPIES * body_bytes):
+        raise _memory_full()
+    connection = request.protocol if isinstance(request.protocol, Connection) else None
+    if connection is not None:
+        connection.reservation = reservation
+    try:
+        yield
+    finally:
+        reservation.release()
+        if connection is not None:
+            connection.reservation = None
+
+
 async def read_body(request: BaseRequest, max_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Read the complete body of a request before the connection's deadline for the request.
 
     Raises:
         BodyTooLargeError: The body has more than `max_bytes` bytes.
         BodyTimeoutError: The body did not arrive in time.
+        RequestMemoryFullError: The memory was needed for other clients meanwhile.
         BadRequestError: The client disconnected before the end of the body.
     """
     body = bytearray()
@@ -80,7 +107,11 @@
                     raise _body_too_large(max_bytes)
     except TimeoutError:
         raise BodyTimeoutError("the body did not come") from None
-    except web.RequestPayloadError:
+    except web.RequestPayloadError as error:
+        # Its traceback refers to the future that holds it: a cycle, which would keep the request in memory.
+        error.with_traceback(None)
+        if connection is not None and connection.gave_way:
+            raise _memory_full() from None
         raise BadRequestError("the body broke off") from None
     finally:
         if connection is not None:
@@ -104,6 +135,10 @@
     return size_bytes
 
 
+def _memory_full() -> RequestMemoryFullError:
+    return RequestMemoryFullError("too much is held already")
+
+
 def _body_too_large(max_bytes: int) -> BodyTooLargeError:
     return BodyTooLargeError(f"a body holds {max_bytes // BYTES_PER_KIB} KiB at most")
 
--- a/oxbowyard/clients/responses.py
+++ b/oxbowyard/clients/responses.py
@@ -11,7 +11,7 @@
 from .errors import RequestError
 
 STATUS_BY_ANSWER = {AnswerKind.SERVED: 200, AnswerKind.REJECTED: 503, AnswerKind.FAILED: 502}
-BODY_MEMORY_RETRY_AFTER = "1.000"  # seconds
+MEMORY_RETRY_AFTER = "1.000"  # seconds
 
 
 class KeepAliveResponse(web.Response):
@@ -35,7 +35,7 @@
     """Create the response to a rejected request."""
     response = web.Response(status=error.status, text=error.text + "\n")
     if error.status == HTTPStatus.SERVICE_UNAVAILABLE:
-        response.headers["Retry-After"] = BODY_MEMORY_RETRY_AFTER
+        response.headers["Retry-After"] = MEMORY_RETRY_AFTER
     if error.status == HTTPStatus.METHOD_NOT_ALLOWED:
         response.headers["Allow"] = "POST"
     if not request.content.is_eof():  # the rest of the body will not be read
@@ -46,4 +46,5 @@
 def empty_response(status: HTTPStatus) -> bytes:
     """Return the bytes of a response without a body that closes the connection."""
     line = f"HTTP/1.1 {status.value} {status.phrase}"
-    return f"{line}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode()
+    retry = f"Retry-After: {MEMORY_RETRY_AFTER}\r\n" if status is HTTPStatus.SERVICE_UNAVAILABLE else ""
+    return f"{line}\r\n{retry}Content-Length: 0\r\nConnection: close\r\n\r\n".encode()
--- a/oxbowyard/control/admin_server.py
+++ b/oxbowyard/control/admin_server.py
@@ -12,6 +12,8 @@
 
 from ..clients.connection import Phase
 from ..clients.connection_set import ConnectionSet
+from ..core.memory_budget import MemoryBudget
+from ..listeners.fair_queue import FairQueue
 
 log = logging.getLogger("oxbowyard.control")
 
@@ -35,9 +37,15 @@
 class AdminConnections(ConnectionSet):
     """The open connections of the admin API. Each is closed after its response."""
 
-    def __init__(self, handler: AdminHandler, max_connections: int = MAX_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        handler: AdminHandler,
+        memory: MemoryBudget,
+        input_queue: FairQueue,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         """Create an empty set of at most `max_connections` connections, whose requests `handler` answers."""
-        super().__init__(self._handle, max_connections)
+        super().__init__(self._handle, max_connections, memory, input_queue)
         self._handler = handler
 
     def evict_idle_connection(self) -> bool:
--- a/oxbowyard/daemon/composition.py
+++ b/oxbowyard/daemon/composition.py
@@ -1,10 +1,10 @@
 """The composition root: builds a scheduler's subsystems, for the daemon and for applications with middleware.
 
 `compose` builds the subsystems in this order, because each depends on those before it: service measure,
-registry of workers, file descriptor budget, HTTP transport, Gearman workers, scheduler, discovery client,
-deferred jobs, Gearman front. `Subsystems.start` starts the discovery client. `Subsystems.close` stops the
-subsystems in this order: deferred jobs, scheduler (both finish the requests and jobs that were accepted),
-Gearman front, background tasks, HTTP transport.
+registry of workers, budgets of file descriptors and of memory, HTTP transport, Gearman workers, scheduler,
+discovery client, deferred jobs, Gearman front. `Subsystems.start` starts the discovery client.
+`Subsystems.close` stops the subsystems in this order: deferred jobs, scheduler (both finish the requests and
+jobs that were accepted), Gearman front, background tasks, HTTP transport.
 
 The components of the operator's file that only the daemon has are built in `operator_components`.
 """
@@ -18,6 +18,7 @@
 
 from ..backends.http import HttpBackends
 from ..core.clock import make_unix_ms_clock
+from ..core.memory_budget import MemoryBudget
 from ..core.request import BackendTransport, RoutedTransport
 from ..core.scheduler import Limits, Scheduler
 from ..core.service_measure import ServiceMeasure
@@ -31,9 +32,11 @@
 from ..gearman.jobs import Jobs
 from ..gearman.worker_transport import WorkerTransport
 from ..gearman.workers import Workers
+from ..listeners.fair_queue import FairQueue
 from .background_tasks import BackgroundTasks
 from .config import Config
 from .descriptors import DescriptorBudget
+from .memory import DEFAULT_REST_BYTES, budget_bytes
 from .units import MS_PER_S
 
 if TYPE_CHECKING:  # optional dependencies: imported only if the operator's file has the table
@@ -54,6 +57,8 @@
     measure: ServiceMeasure
     registry: Registry
     descriptors: DescriptorBudget
+    memory: MemoryBudget
+    input_queue: FairQueue
     backends: HttpBackends
     scheduler: Scheduler
     discovery: DiscoveryClient
@@ -130,6 +135,8 @@
     measure = ServiceMeasure(classes.measured, config.weight_is_per_work)
     registry = Registry(clock, settings.drain_grace_ms)
     descriptors = _descriptors(config, gearman)
+    memory = MemoryBudget(budget_bytes(config.memory_mb, DEFAULT_REST_BYTES))
+    input_queue = FairQueue()
     backends = _http_backends(config, settings, registry, descriptors)
     workers = WorkerTransport(Workers(gearman)) if gearman else None
     scheduler = _scheduler(config, settings, _transport(backends, workers), clock, measure, descriptors)
@@ -147,6 +154,8 @@
         measure=measure,
         registry=registry,
         descriptors=descriptors,
+        memory=memory,
+        input_queue=input_queue,
         backends=backends,
         scheduler=scheduler,
         discovery=discovery,
--- a/oxbowyard/daemon/context.py
+++ b/oxbowyard/daemon/context.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 from ..clients.client_connections import ClientConnections
-from ..clients.limits import MAX_BODIES_MEMORY_SHARE
 from ..control.cordon_file import CordonFile
 from ..control.counters import ConfigurationReloads
 from ..control.maintenance import Maintenance
@@ -19,9 +18,10 @@
 from .config import Config
 from .lifecycle import Component, Lifecycle
 from .loading import LoadedConfiguration
+from .memory import MemoryWatch
 from .operator_components import build_deferred_jobs_front, build_membership, build_start, open_store
 from .states import StateMachine
-from .units import BYTES_PER_MB, MS_PER_S
+from .units import MS_PER_S
 
 if TYPE_CHECKING:  # optional dependencies: imported only if the operator's file has the table
     from ..durable.durable_store import DurableStore
@@ -46,6 +46,7 @@
     reload_counts: ConfigurationReloads = field(default_factory=ConfigurationReloads)
     acceptor: Acceptor | None = None
     admin_acceptor: Acceptor | None = None
+    memory_watch: MemoryWatch | None = None
 
     @property
     def config(self) -> Config:
@@ -110,6 +111,7 @@
         subsystems.classes,
         lambda: states.is_serving,
         subsystems.descriptors.clients,
-        int(loaded.config.memory_mb * MAX_BODIES_MEMORY_SHARE * BYTES_PER_MB),
+        subsystems.memory,
+        subsystems.input_queue,
         build_deferred_jobs_front(subsystems, loaded.durable),
     )
--- a/oxbowyard/daemon/hot_restart.py
+++ b/oxbowyard/daemon/hot_restart.py
@@ -36,6 +36,11 @@
         """Whether the admin API may report this process as ready."""
         return self.handover.may_report_ready
 
+    @property
+    def has_other_process(self) -> bool:
+        """Whether another process of this scheduler runs beside this one."""
+        return self.handover.has_other_process
+
     def begin(self) -> None:
         """Check whether another process is serving, and poll the handover files in the background."""
         self.handover.start()
--- a/oxbowyard/daemon/program.py
+++ b/oxbowyard/daemon/program.py
@@ -17,6 +17,7 @@
 from .context import build_context
 from .hot_restart import HotRestart
 from .loading import ConfigurationLoader
+from .memory import MemoryWatch
 from .reload import Reloader
 from .shutdown import abort_startup, shut_down
 from .startup import open_and_start, wait_for_first_list
@@ -37,6 +38,12 @@
         self.context = build_context(loaded, take_over)
         self.reloader = Reloader(self.context, load)
         self.hot_restart = HotRestart(self.context, started_at)
+        self.context.memory_watch = MemoryWatch(
+            self.context.config.memory_mb,
+            self.context.subsystems.memory,
+            self.context.folder,
+            lambda: self.hot_restart.has_other_process,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -57,10 +64,16 @@
         await wait_for_first_list(self.context)
         if not self.context.stop_requested.is_set():
             self.context.states.enter(State.SERVING)
+            self._watch_memory()
         await self.context.stop_requested.wait()
         await self.shut_down()
         return 0
 
+    def _watch_memory(self) -> None:
+        """Start to watch the memory, now that the program holds what it needs at rest."""
+        assert self.context.memory_watch is not None
+        self.context.subsystems.background.start(self.context.memory_watch.run())
+
     async def start(self) -> None:
         """Open and start everything. On OSError everything is closed again before the error is raised."""
         try:
--- a/oxbowyard/daemon/reporting.py
+++ b/oxbowyard/daemon/reporting.py
@@ -49,6 +49,8 @@
     yield context.subsystems.summary()
     if context.subsystems.job_queue:
         yield context.subsystems.job_queue.summary()
+    if context.memory_watch:
+        yield context.memory_watch.summary()
     if context.store:
         yield context.store.summary()
 
--- a/oxbowyard/daemon/startup.py
+++ b/oxbowyard/daemon/startup.py
@@ -63,7 +63,9 @@
     subsystems = context.subsystems
     if context.config.admin is not None:
         handlers = AdminHandlers(_admin_sources(context, is_ready))
-        connections = AdminConnections(handlers, subsystems.descriptors.admin)
+        connections = AdminConnections(
+            handlers, subsystems.memory, subsystems.input_queue, subsystems.descriptors.admin
+        )
         context.admin_acceptor = Acceptor("control", *context.config.admin, connections)
         context.admin_acceptor.open()
     if subsystems.gearman:
--- a/oxbowyard/handover/protocol.py
+++ b/oxbowyard/handover/protocol.py
@@ -54,6 +54,11 @@
         """Whether this process is a successor that has not taken over yet."""
         return self.state is HandoverState.WAITING
 
+    @property
+    def has_other_process(self) -> bool:
+        """Whether a predecessor or a successor of this process runs beside it."""
+        return self.state is not HandoverState.SERVING
+
     @property
     def successor(self) -> int | None:
         """The pid of the process that waits to take over from this one, or None."""
--- a/tests/scheduler_harness.py
+++ b/tests/scheduler_harness.py
@@ -136,7 +136,12 @@
         self.subsystems = compose(self.config, packets, waiting=waiting, clock=lambda: loop.time() * 1000)
         self.scheduler = self.subsystems.scheduler
         self.client_connections = ClientConnections(
-            self.scheduler, self.subsystems.classes, lambda: True, 64, 1 << 24
+            self.scheduler,
+            self.subsystems.classes,
+            lambda: True,
+            64,
+            self.subsystems.memory,
+            self.subsystems.input_queue,
         )
         self.acceptor = Acceptor("http", "127.0.0.1", 0, self.client_connections)
         self.worker = FakeScanWorker()
--- /dev/null
+++ b/tests/test_connection_memory.py
@@ -0,0 +1,141 @@
+"""What a client connection holds: while it waits, when others need the memory, and after its end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from scheduler_harness import (
+    GatedConnectLoop,
+    SchedulerHarness,
+    disconnect,
+    request_bytes,
+    run_loop_iterations,
+)
+
+from oxbowyard.clients.connection import Connection
+from oxbowyard.clients.limits import MAX_BODY_BYTES, MAX_PIPELINED_BYTES
+from oxbowyard.clients.memory_costs import BODY_COPIES, OPEN_REQUEST_BYTES
+from oxbowyard.core.memory_budget import Holder
+from oxbowyard.daemon.memory import MIN_BUDGET_BYTES, USABLE_SHARE, budget_bytes
+from oxbowyard.daemon.units import BYTES_PER_MB
+
+PIPELINED = request_bytes("preview") + b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n" * 6000
+ENDINGS = {
+    "answered": request_bytes("preview"),
+    "malformed": b"GARBAGE\r\n\r\n",
+    "incomplete": b"POST /pre",
+    "pipelined": PIPELINED,
+    "half a body": request_bytes("preview")[:-2],
+}
+
+
+def run_scenario(tmp_path: Path, scenario: Callable[[SchedulerHarness], Awaitable[None]]) -> None:
+    async def run() -> None:
+        harness = SchedulerHarness(tmp_path)
+        try:
+            async with asyncio.timeout(120.0):
+                await harness.start()
+                await scenario(harness)
+        finally:
+            await harness.close()
+
+    with asyncio.Runner(loop_factory=GatedConnectLoop) as runner:
+        runner.run(run())
+
+
+async def _send(harness: SchedulerHarness, data: bytes) -> socket.socket:
+    """Send data on a new connection for as long as the scheduler reads it."""
+    client = harness.connect()
+    client.setblocking(False)
+    while data:
+        try:
+            data = data[client.send(data) :]
+        except (BlockingIOError, ConnectionError):
+            break
+        await run_loop_iterations(20)
+    await run_loop_iterations()
+    return client
+
+
+def _connections() -> list[Connection]:
+    return [thing for thing in gc.get_objects() if type(thing) is Connection]
+
+
+@pytest.mark.parametrize("answers", [True, False])
+@pytest.mark.parametrize("stays_s", [0.0, 3.0])
+@pytest.mark.parametrize("ending", ENDINGS)
+def test_closed_connection_is_freed_without_the_garbage_collector(
+    tmp_path: Path, ending: str, answers: bool, stays_s: float
+) -> None:
+    # Guards against closed connections that pile up until a full collection (issue 56).
+    async def scenario(harness: SchedulerHarness) -> None:
+        harness.worker.answers_requests = answers
+        gc.collect()
+        gc.disable()
+        try:
+            client = await _send(harness, ENDINGS[ending])
+            await harness.read_available(client)
+            await asyncio.sleep(stays_s)
+            await run_loop_iterations()
+            disconnect(client, "close")
+            await run_loop_iterations()
+            await asyncio.sleep(3.0)
+            await run_loop_iterations()
+            assert _connections() == []
+            assert harness.subsystems.memory.used_by[Holder.CONNECTIONS] == 0
+        finally:
+            gc.enable()
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_requests_behind_one_that_is_answered_are_not_parsed(tmp_path: Path) -> None:
+    # Guards against parsed requests that wait by the dozen on each connection (issue 56).
+    async def scenario(harness: SchedulerHarness) -> None:
+        harness.worker.answers_requests = False
+        await _send(harness, PIPELINED[: MAX_PIPELINED_BYTES // 2])
+        (connection,) = harness.client_connections._open
+        assert len(connection._messages) == 0 and connection._request_count == 1
+        held = harness.subsystems.memory.used_by[Holder.CONNECTIONS]
+        assert MAX_PIPELINED_BYTES // 4 < held < MAX_PIPELINED_BYTES
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_client_that_costs_most_and_is_owed_nothing_gives_way(tmp_path: Path) -> None:
+    # Guards against half-sent bodies that turn ordinary requests away or push out taken ones (issue 56).
+    async def scenario(harness: SchedulerHarness) -> None:
+        memory = harness.subsystems.memory
+        harness.worker.answers_requests = False
+        taken = await _send(harness, request_bytes("preview", "taken", "x" * MAX_BODY_BYTES))
+        half = await _send(harness, request_bytes("preview", "half", "x" * MAX_BODY_BYTES)[:-9])
+        assert memory.used_by[Holder.REQUESTS] == 2 * (OPEN_REQUEST_BYTES + BODY_COPIES * MAX_BODY_BYTES)
+        memory.limit_bytes = memory.used_bytes
+        harness.worker.answers_requests = True
+        ordinary = await _send(harness, request_bytes("preview", "ordinary"))
+        await asyncio.sleep(0.05)
+        assert (await harness.read_available(ordinary)).startswith(b"HTTP/1.1 200")
+        refusal = await harness.read_available(half)
+        assert refusal.startswith(b"HTTP/1.1 503") and b"Retry-After" in refusal
+        harness.worker.respond(0)
+        assert (await harness.read_available(taken)).startswith(b"HTTP/1.1 200")
+        assert harness.client_connections.counts["gave way for memory"] == 1
+
+    run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("memory_mb", [40, 96, 192, 2048])
+def test_budget_is_what_the_limit_leaves(memory_mb: int) -> None:
+    rest, files = 39 * BYTES_PER_MB, 5 * BYTES_PER_MB
+    alone = budget_bytes(memory_mb, rest, files)
+    assert alone >= MIN_BUDGET_BYTES
+    assert alone == MIN_BUDGET_BYTES or alone + rest + files <= USABLE_SHARE * memory_mb * BYTES_PER_MB
+    beside = budget_bytes(memory_mb, rest, files, processes=2)
+    assert (
+        beside == MIN_BUDGET_BYTES or 2 * (beside + rest) + files <= USABLE_SHARE * memory_mb * BYTES_PER_MB
+    )
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from oxbowyard.clients.body_memory import BodyMemory
-from oxbowyard.clients.errors import BodyMemoryFullError
+from oxbowyard.clients.errors import RequestMemoryFullError
+from oxbowyard.core.memory_budget import NEW_WORK_SHARE, Holder, MemoryBudget, MemoryFullError
 from oxbowyard.daemon.composition import compose
 from oxbowyard.daemon.config import Config
 from oxbowyard.daemon.descriptors import DescriptorBudget
@@ -68,14 +68,16 @@
     asyncio.run(play())
 
 
-def test_all_request_bodies_share_one_memory_limit() -> None:
-    memory = BodyMemory(100)
-    with memory.reserve(60):
-        with pytest.raises(BodyMemoryFullError) as fault, memory.reserve(60):
+def test_all_requests_share_one_memory_limit() -> None:
+    memory = MemoryBudget(100)
+    share = int(100 * NEW_WORK_SHARE)
+    with memory.reserve(Holder.REQUESTS, 60):
+        with pytest.raises(MemoryFullError), memory.reserve(Holder.REQUESTS, share - 59):
             pass
-        assert fault.value.status == 503  # the request never ran, so a retry is safe
-    with memory.reserve(100):
-        pass
+        assert memory.refused[Holder.REQUESTS] == 1
+    with memory.reserve(Holder.REQUESTS, share):
+        assert memory.used_bytes == share
+    assert RequestMemoryFullError("").status == 503  # the request never ran, so a retry is safe
 
 
 def test_a_unique_id_of_any_length_becomes_a_short_key() -> None:
