--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -129,6 +129,8 @@
         # A lease recorded after the last byte could be lost in a crash.
         await wait_for_lease_record(request, backend)
         _check_still_wanted(request, context)
+        if not context.claim_run():
+            raise _NotSentError("its id was sent before")
         context.is_last_byte_written = True
         yield unsent
         self.sent_attempts[request.job_class] += 1  # aiohttp resumes the generator once the chunk is written
--- a/oxbowyard/clients/request_parsing.py
+++ b/oxbowyard/clients/request_parsing.py
@@ -133,4 +133,5 @@
         is_retry=single_header(headers, "Req-Retry") == "1",
         extras=extras,
         idempotency_key=parse_idempotency_key(single_header(headers, "Idempotency-Key")),
+        is_id_from_client=True,
     )
--- a/oxbowyard/core/attempts.py
+++ b/oxbowyard/core/attempts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
@@ -33,11 +34,20 @@
 class Attempts:
     """Starts and cancels attempts, and reports their progress to the observer."""
 
-    def __init__(self, transport: BackendTransport, deadlines: Deadlines, observer: AttemptObserver) -> None:
+    def __init__(
+        self,
+        transport: BackendTransport,
+        deadlines: Deadlines,
+        observer: AttemptObserver,
+        claim_run: Callable[[OpenRequest], bool],
+    ) -> None:
+        """Create the attempts of one core. `claim_run` is called just before a request may run, and returns
+        False if the work must not be sent."""
         self._loop = asyncio.get_running_loop()
         self._transport = transport
         self._deadlines = deadlines
         self._observer = observer
+        self._claim_run = claim_run
 
     def start(self, entry: OpenRequest, action: StartAttempt) -> None:
         """Start an attempt. If a rule forbids it, report it as not sent in the next loop iteration."""
@@ -56,6 +66,7 @@
             on_update=partial(self._updated, entry, action),
             send_deadline=entry.repeat_deadline,
             is_wanted=lambda: not entry.is_answered,
+            claim_run=partial(self._claim_run, entry),
         )
         task = self._loop.create_task(self._run(entry.request, action, context))
         entry.attempt = RunningAttempt(action, context, task, sent_at=self._loop.time())
--- a/oxbowyard/core/lifecycle.py
+++ b/oxbowyard/core/lifecycle.py
@@ -53,7 +53,7 @@
         self._measure = measure
         self._admission = admission
         self._deadlines = Deadlines(self._answer_without_decision)
-        self._attempts = Attempts(transport, self._deadlines, self)
+        self._attempts = Attempts(transport, self._deadlines, self, self._claim_run)
         self._timer = DecisionTimer(clock, self._tick)
         self._rejected_at = -math.inf  # loop time
 
@@ -142,6 +142,14 @@
         )
         self.apply_decisions(self._facade.report(ended), self._admission.find(action.request_id))
 
+    def _claim_run(self, entry: OpenRequest) -> bool:
+        """Return whether a request may run now; fail it if another process has sent one with its id."""
+        if self._admission.claim_run(entry):
+            return True
+        entry.record_earlier_run(repeat_deadline=-math.inf)
+        self._answer_without_decision(entry, "a req with this id may have run")
+        return False
+
     # ---- Decisions ----
 
     def _tick(self) -> None:
@@ -180,7 +188,7 @@
         """Answer a request without a decision: reject it if a repeat is certainly harmless, else fail it."""
         if entry.is_answered:
             return
-        if entry.is_repeat_harmless:
+        if entry.is_repeat_harmless and entry.repeat_deadline > -math.inf:
             answer = entry.make_answer(AnswerKind.REJECTED, reason, self._admission.retry_after_s)
         else:
             answer = entry.make_answer(AnswerKind.FAILED, reason)
--- a/oxbowyard/core/open_request.py
+++ b/oxbowyard/core/open_request.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from ..decision.facade import NEVER_RAN, Result, StartAttempt
+from .repeats import repeat_deadline
 from .request import Answer, AnswerKind, AttemptContext, AttemptOutcome, Request, RunState
 
 # The backend may still be running the request after these.
@@ -43,6 +44,7 @@
     may_have_run: bool = False
     may_be_running: bool = False  # the end of an attempt that may have run was not observed
     repeat_deadline: float = math.inf
+    is_id_claimed: bool = False  # its id is remembered, because the work may have been sent
     run_started_at: float | None = None  # of the latest attempt
     run_time_s: float | None = None
 
@@ -89,8 +91,8 @@
         """Record whether an attempt that ended may have run, or may still be running."""
         if result not in NEVER_RAN and not self.may_have_run:
             self.may_have_run = True
-            window_s = math.inf if self.repeat_window_s is None else self.repeat_window_s
-            self.repeat_deadline = attempt.sent_at + window_s
+            if self.repeat_window_s is not None:
+                self.repeat_deadline = repeat_deadline(attempt.sent_at, self.repeat_window_s)
         self.may_be_running |= result in INDETERMINATE_RESULTS
 
     def make_answer(self, kind: AnswerKind, reason: str, retry_after_s: float = 0.0) -> Answer:
--- a/oxbowyard/core/request.py
+++ b/oxbowyard/core/request.py
@@ -89,6 +89,8 @@
     # Loop time until which it may be sent, if an earlier request or process sent the same work, whose run may
     # not have ended; None if none did.
     repeat_deadline: float | None = None
+    # Whether the client chose the id, and so may send it again. Other ids are unique.
+    is_id_from_client: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -114,6 +116,8 @@
     send_deadline: float = math.inf
     # Returns whether the request has no answer yet and was not cancelled.
     is_wanted: Callable[[], bool] = lambda: True
+    # Called just before the last byte is sent. Returns False if that would repeat work that may have run.
+    claim_run: Callable[[], bool] = lambda: True
     # Set when the last byte is passed to the connection: from then on the request may run.
     is_last_byte_written: bool = False
 
--- a/oxbowyard/core/scheduler.py
+++ b/oxbowyard/core/scheduler.py
@@ -10,11 +10,15 @@
 from .admission import Admission, Limits
 from .endpoint_lists import EndpointLists
 from .lifecycle import RequestLifecycle
+from .memory_budget import MemoryBudget
+from .repeats import RememberedIds, UnsharedIds
 from .request import Answer, AnswerKind, BackendTransport, Request, RunState
 from .service_measure import ServiceMeasure
 
 __all__ = ["Limits", "Scheduler"]
 
+DEFAULT_IDS_BUDGET_BYTES = 16 << 20  # of a scheduler without a budget of its own
+
 
 class Scheduler:
     """The core: fronts await `serve`, the facade decides, and a backend transport sends the attempts.
@@ -28,6 +32,7 @@
         clock: Unix time in milliseconds that never goes backwards; the facade uses the same one.
         measure: Counts the requests and their answers.
         limits: The limits of this process.
+        ids: The request ids whose work may have run; None for a memory of this scheduler's own.
     """
 
     def __init__(
@@ -38,10 +43,14 @@
         clock: Callable[[], float],
         measure: ServiceMeasure,
         limits: Limits,
+        ids: RememberedIds | None = None,
     ) -> None:
         self.measure = measure
         self._facade = facade
-        self._admission = Admission(settings, limits)
+        if ids is None:
+            memory = MemoryBudget(DEFAULT_IDS_BUDGET_BYTES)
+            ids = RememberedIds(memory, asyncio.get_running_loop().time, UnsharedIds())
+        self._admission = Admission(settings, limits, ids)
         self._endpoints = EndpointLists()
         self._lifecycle = RequestLifecycle(facade, transport, clock, measure, self._admission)
 
@@ -49,8 +58,9 @@
 
     async def serve(self, request: Request) -> Answer:
         """Return the one final answer to a request. Cancel this call when its client disconnects."""
-        if self._admission.is_open(request.id):
-            return Answer(AnswerKind.FAILED, reason="a req with this id is open")
+        repeated = self._admission.reject_repeat(request)
+        if repeated is not None:
+            return repeated
         self.measure.record_request(request.job_class, request.is_retry)
         rejection = self._admission.reject_if_full()
         if rejection is not None:
--- a/oxbowyard/daemon/composition.py
+++ b/oxbowyard/daemon/composition.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -19,6 +20,7 @@
 from ..backends.http import HttpBackends
 from ..core.clock import make_unix_ms_clock
 from ..core.memory_budget import MemoryBudget
+from ..core.repeats import RememberedIds, SharedIds, UnsharedIds
 from ..core.request import BackendTransport, RoutedTransport
 from ..core.scheduler import Limits, Scheduler
 from ..core.service_measure import ServiceMeasure
@@ -119,12 +121,14 @@
     waiting: WaitingSettings | None = None,
     durable: DurableStore | None = None,
     clock: Callable[[], float] | None = None,
+    shared_ids: SharedIds | None = None,
 ) -> Subsystems:
     """Build all subsystems without starting any of them.
 
     `on_settled` is called when discovery has answered at the address that was set last. `waiting` enables
     deferred jobs, and `durable` is the open store that persists them. `clock` returns Unix time in
-    milliseconds and never steps backwards; by default it is derived from the system clock.
+    milliseconds and never steps backwards; by default it is derived from the system clock. `shared_ids` are
+    the request ids that other processes of this scheduler have sent; None if there never is another one.
     """
     clock = clock or make_unix_ms_clock()
     gearman = _within_descriptors(gearman, config.sockets)
@@ -139,7 +143,8 @@
     input_queue = FairQueue()
     backends = _http_backends(config, settings, registry, descriptors)
     workers = WorkerTransport(Workers(gearman)) if gearman else None
-    scheduler = _scheduler(config, settings, _transport(backends, workers), clock, measure, descriptors)
+    ids = RememberedIds(memory, asyncio.get_running_loop().time, shared_ids or UnsharedIds())
+    scheduler = _scheduler(config, settings, _transport(backends, workers), clock, measure, descriptors, ids)
     discovery = _discovery(config, settings, registry, scheduler, on_settled)
     jobs = None
     if waiting is not None:
@@ -225,11 +230,12 @@
     clock: Callable[[], float],
     measure: ServiceMeasure,
     descriptors: DescriptorBudget,
+    ids: RememberedIds,
 ) -> Scheduler:
     # The discovery client polls for the list if the settings require it, so the decisions never have to.
     facade = Facade(replace(settings, must_subscribe=False), config.seed, clock)
     limits = Limits(max_open_requests=descriptors.requests)
-    return Scheduler(settings, facade, transport, clock, measure, limits)
+    return Scheduler(settings, facade, transport, clock, measure, limits, ids)
 
 
 def _discovery(
--- a/oxbowyard/daemon/context.py
+++ b/oxbowyard/daemon/context.py
@@ -13,6 +13,7 @@
 from ..control.cordon_file import CordonFile
 from ..control.counters import ConfigurationReloads
 from ..control.maintenance import Maintenance
+from ..handover.shared_ids import SharedIdFiles
 from ..listeners.acceptor import Acceptor
 from .composition import Subsystems, compose
 from .config import Config
@@ -39,6 +40,7 @@
     maintenance: Maintenance
     components: Lifecycle  # those that the operator's file enables
     folder: Path  # for files that are shared with other processes of this scheduler
+    shared_ids: SharedIdFiles  # the request ids that the processes of this scheduler have sent
     store: DurableStore | None  # persists deferred jobs
     membership: MembershipComponent | None
     longest_deadline_s: float  # longest deadline of any class since the start, reloads included
@@ -67,7 +69,11 @@
     folder = Path(tempfile.gettempdir())
     states = StateMachine()
     store = open_store(loaded.durable, take_over) if loaded.durable else None
-    subsystems = compose(config, loaded.gearman, states.discovery_settled, loaded.waiting, store)
+    shared_ids = SharedIdFiles(folder, config.name)
+    shared_ids.open()
+    subsystems = compose(
+        config, loaded.gearman, states.discovery_settled, loaded.waiting, store, shared_ids=shared_ids
+    )
     maintenance = _build_maintenance(subsystems, folder)
     membership = None
     if loaded.membership is not None:
@@ -82,6 +88,7 @@
         maintenance=maintenance,
         components=Lifecycle(_components(loaded, subsystems, membership)),
         folder=folder,
+        shared_ids=shared_ids,
         store=store,
         membership=membership,
         longest_deadline_s=max(c.deadline_ms for c in config.settings.classes) / MS_PER_S,
--- a/oxbowyard/daemon/shutdown.py
+++ b/oxbowyard/daemon/shutdown.py
@@ -37,6 +37,7 @@
         await context.store.close()
     _close_admin(context)
     hot_restart.end()
+    context.shared_ids.close()
     context.states.enter(State.STOPPED)
 
 
--- a/oxbowyard/waiting/core_submissions.py
+++ b/oxbowyard/waiting/core_submissions.py
@@ -15,11 +15,12 @@
 from dataclasses import dataclass, replace
 from functools import partial
 
+from ..core.repeats import MS_PER_S, repeat_deadline
 from ..core.request import Answer, AnswerKind, AttemptUpdate, Request, RunState
 from ..core.scheduler import Scheduler
 from ..decision.settings import JobClass
 from .dependencies import has_dependents_on_any_end
-from .grants import MS_PER_S, Grants, RepeatLimit, RepeatRules
+from .grants import Grants, RepeatLimit, RepeatRules
 from .job import Job, JobOutcome
 from .journal import GrantRecord, JobJournal
 from .lease_watch import LeaseWatch
@@ -186,7 +187,7 @@
         is_repeat = self._scheduler.run_state(request_id) is not RunState.NEVER_RAN
         grant = self.grants.record(job.id, worker, lease)
         if not is_repeat:
-            grant.repeat = RepeatLimit(self._loop.time() + window_s, request_id)
+            grant.repeat = RepeatLimit(repeat_deadline(self._loop.time(), window_s), request_id)
         self._lease_watch.begin(job.id)
         self._journal.record_grant(job, GrantRecord(worker, lease, request_id, window_s, is_repeat))
         self._journal.when_durable(then)
--- a/oxbowyard/waiting/grants.py
+++ b/oxbowyard/waiting/grants.py
@@ -11,16 +11,15 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ..core.repeats import repeat_window_s
 from ..decision.settings import JobClass
 
-MS_PER_S = 1000
-
 
 class RepeatRules:
     """How long a job of each class may be repeated after it may have run. Unknown classes raise KeyError."""
 
     def __init__(self, classes: Iterable[JobClass]) -> None:
-        self._windows_s = {c.name: _window_s(c) for c in classes}
+        self._windows_s = {c.name: repeat_window_s(c) or 0.0 for c in classes}
 
     def window_s(self, job_class: str) -> float:
         """Return for how long a repeat is harmless: 0 if never, infinite if always."""
@@ -31,11 +30,6 @@
         return self._windows_s[job_class] < math.inf
 
 
-def _window_s(job_class: JobClass) -> float:
-    window_ms = job_class.repeat_window_ms
-    return 0.0 if window_ms is None else window_ms / MS_PER_S
-
-
 @dataclass(slots=True, frozen=True)
 class RepeatLimit:
     """Until when, and under which id, a job that may have run may be sent again."""
--- a/oxbowyard/waiting/job_queue.py
+++ b/oxbowyard/waiting/job_queue.py
@@ -14,12 +14,13 @@
 
 from msgspec import structs
 
+from ..core.repeats import MS_PER_S
 from ..core.request import Answer, AnswerKind, Request, RunState
 from ..core.scheduler import Scheduler
 from ..decision.settings import JobClass
 from .core_submissions import CoreSubmissions, WorkerAnswer
 from .fleet_view import FleetView
-from .grants import MS_PER_S, RepeatLimit, RepeatRules
+from .grants import RepeatLimit, RepeatRules
 from .held_jobs import HeldJobs
 from .job import (
     AGED_CLASS_SUFFIX,
