--- a/oxbowyard/control/handlers.py
+++ b/oxbowyard/control/handlers.py
@@ -13,6 +13,7 @@
 READY_PATH = "/control/ready"
 COUNTERS_PATH = "/control/counters"
 MEMBERS_PATH = "/control/members"
+MEMORY_PATH = "/control/memory"
 WORKERS_PREFIX = "/control/scan-workers/"  # followed by UID/offline or UID/online
 OFFLINE = "offline"
 ONLINE = "online"
@@ -29,6 +30,7 @@
     counters: Callable[[], Mapping[str, object]]
     maintenance: Maintenance | None = None
     members: Callable[[], Mapping[str, object]] | None = None  # None if membership is disabled
+    memory: Callable[[], Mapping[str, object]] | None = None
 
 
 class AdminHandlers:
@@ -43,6 +45,8 @@
             return _require_get(method) or self._ready()
         if path == COUNTERS_PATH:
             return _require_get(method) or _json_response(self._sources.counters())
+        if path == MEMORY_PATH and self._sources.memory is not None:
+            return _require_get(method) or _json_response(self._sources.memory())
         if path == MEMBERS_PATH and self._sources.members is not None:
             return _require_get(method) or _json_response(self._sources.members())
         if path.startswith(WORKERS_PREFIX):
--- a/oxbowyard/daemon/memory.py
+++ b/oxbowyard/daemon/memory.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ..core.memory_budget import MemoryBudget
+from ..core.memory_budget import Holder, MemoryBudget
 from .units import BYTES_PER_MB
 
 log = logging.getLogger("oxbowyard.daemon")
@@ -122,6 +122,20 @@
             level = logging.CRITICAL if share >= CRITICAL_SHARE else logging.WARNING
             log.log(level, "close to the limit: %s", self.summary())
 
+    def figures(self) -> dict[str, object]:
+        """Return the figures for the admin API: sizes in bytes, and how often space was refused."""
+        budget = self._budget
+        return {
+            "resident_bytes": self.use.resident,
+            "files_bytes": self.use.files,
+            "limit_bytes": int(self._memory_mb * BYTES_PER_MB),
+            "budget_bytes": budget.limit_bytes,
+            "held_bytes": budget.used_bytes,
+            "held_peak_bytes": budget.peak_bytes,
+            "held_by": {holder.value: budget.used_by[holder] for holder in Holder},
+            "refused_by": {holder.value: budget.refused[holder] for holder in Holder},
+        }
+
     def summary(self) -> str:
         """Return the memory in use, its limits, and its largest holders as one line of text."""
         budget = self._budget
--- a/oxbowyard/daemon/startup.py
+++ b/oxbowyard/daemon/startup.py
@@ -82,6 +82,7 @@
         lambda: read_counters(counters, subsystems.scheduler.open_request_count),
         context.maintenance,
         context.membership.view if context.membership else None,
+        context.memory_watch.figures if context.memory_watch else None,
     )
 
 
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -20,8 +20,9 @@
 from oxbowyard.clients.connection import Connection
 from oxbowyard.clients.limits import MAX_BODY_BYTES, MAX_PIPELINED_BYTES
 from oxbowyard.clients.memory_costs import BODY_COPIES, OPEN_REQUEST_BYTES
-from oxbowyard.core.memory_budget import Holder
-from oxbowyard.daemon.memory import MIN_BUDGET_BYTES, USABLE_SHARE, budget_bytes
+from oxbowyard.core.memory_budget import Holder, MemoryBudget
+from oxbowyard.daemon import memory
+from oxbowyard.daemon.memory import MIN_BUDGET_BYTES, USABLE_SHARE, MemoryWatch, budget_bytes
 from oxbowyard.daemon.units import BYTES_PER_MB
 
 PIPELINED = request_bytes("preview") + b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n" * 6000
@@ -139,3 +140,25 @@
     assert (
         beside == MIN_BUDGET_BYTES or 2 * (beside + rest) + files <= USABLE_SHARE * memory_mb * BYTES_PER_MB
     )
+
+
+def test_memory_is_logged_and_reported_before_it_is_critical(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a process that is killed for its memory without a line that says who held it (issue 56).
+    resident = [40 * BYTES_PER_MB]
+    monkeypatch.setattr(memory, "resident_bytes", lambda: resident[0])
+    (tmp_path / "file").write_bytes(b"x" * BYTES_PER_MB)
+    budget = MemoryBudget(BYTES_PER_MB)
+    watch = MemoryWatch(100, budget, tmp_path, lambda: False)
+    watch.check(0.0)
+    assert budget.limit_bytes == budget_bytes(100, resident[0], BYTES_PER_MB)
+    budget.open(Holder.ANSWERS).resize(5 * BYTES_PER_MB)
+    for now, size_mb in ((1.0, 76), (2.0, 77), (12.0, 95)):
+        resident[0] = size_mb * BYTES_PER_MB
+        watch.check(now)
+    lines = [(record.levelname, record.message) for record in caplog.records]
+    assert [level for level, _ in lines] == ["WARNING", "CRITICAL"]
+    assert all("answers 5.0" in text for _, text in lines)
+    figures = watch.figures()
+    assert figures["resident_bytes"] == 95 * BYTES_PER_MB and figures["held_bytes"] == 5 * BYTES_PER_MB
