--- a/oxbowyard/__main__.py
+++ b/oxbowyard/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import faulthandler
 import logging
 import os
 import signal
@@ -18,6 +19,8 @@
 # The process id distinguishes the two processes of a hot restart.
 LOG_FORMAT = "%(asctime)s %(process)d %(levelname)s %(name)s: %(message)s"
 EXIT_FAILED = 1
+log = logging.getLogger("oxbowyard.daemon")
+
 HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 
 
@@ -59,6 +62,7 @@
     """Read the configuration and run until SIGTERM or SIGINT. Return the exit code."""
     options = _parser().parse_args(argv)
     _set_up_logging()
+    faulthandler.enable()  # a fault in native code leaves the stack on standard error
     load = partial(load_all, options.gearman, options.operator)
     try:
         return asyncio.run(_run(load, options.take_over))
@@ -66,6 +70,8 @@
         print(f"oxbowyard: {error}", file=sys.stderr)
     except OSError as error:
         print(f"oxbowyard: cannot listen: {error}", file=sys.stderr)
+    except Exception as error:  # also MemoryError
+        log.critical("process ends, unexpected error: error=%r", error, exc_info=error)
     return EXIT_FAILED
 
 
--- a/tests/test_ends_of_the_program.py
+++ b/tests/test_ends_of_the_program.py
@@ -15,6 +15,8 @@
 from scheduler_harness import SETTINGS, request_bytes
 from test_replacement import free_port
 
+from oxbowyard import __main__ as main_module
+
 ENTRY = {"uid": "w1", "az": "a", "model": "m", "state": "ready", "boot_ms": 0}
 
 
@@ -103,3 +105,16 @@
         program.end()
         if successor is not None:
             successor.end()
+
+
+def test_process_that_ends_by_an_unexpected_error_leaves_a_last_line(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    # Guards against a process that ends by itself without a line that says why (issue 56).
+    async def fail(*arguments: object) -> int:
+        raise MemoryError
+
+    monkeypatch.setattr(main_module, "_run", fail)
+    monkeypatch.setattr(main_module.faulthandler, "enable", lambda: None)
+    assert main_module.main([]) == main_module.EXIT_FAILED
+    assert "process ends, unexpected error: error=MemoryError()" in caplog.text
