--- a/oxbowyard/clients/request_input.py
+++ b/oxbowyard/clients/request_input.py
@@ -181,17 +181,27 @@
 
     @property
     def may_give_way(self) -> bool:
-        """Whether nothing is owed to the client: no complete request has been received and not answered."""
-        if self.transport is None or self._is_answering or self.gave_way:
+        """Whether something is held that the client is not owed: anything but a request that was taken."""
+        if self.transport is None or self.gave_way:
+            return False
+        if self.phase is Phase.RESPONDING:
+            return bool(self._input)
+        if self._is_answering:
             return False
         if self.phase is Phase.KEEP_ALIVE:
             return not self.has_unread_request
         return self.phase is Phase.READING
 
     def give_way(self) -> None:
-        """End the request that is being received, or close the idle connection, to release its memory."""
-        self.gave_way = True
+        """End the request that is being received, or close the idle connection, to release its memory.
+
+        While a request is answered, what was sent behind it is discarded.
+        """
         self._owner.counts["gave way for memory"] += 1
+        if self.phase is Phase.RESPONDING:
+            self.close_after_response()
+            return
+        self.gave_way = True
         self._input.clear()
         if self.reservation is not None:
             self.reservation.release()
--- a/oxbowyard/daemon/composition.py
+++ b/oxbowyard/daemon/composition.py
@@ -142,7 +142,7 @@
     memory = MemoryBudget(budget_bytes(config.memory_mb, DEFAULT_REST_BYTES))
     input_queue = FairQueue()
     backends = _http_backends(config, settings, registry, descriptors)
-    workers = WorkerTransport(Workers(gearman)) if gearman else None
+    workers = WorkerTransport(Workers(gearman, memory)) if gearman else None
     ids = RememberedIds(memory, asyncio.get_running_loop().time, shared_ids or UnsharedIds())
     scheduler = _scheduler(config, settings, _transport(backends, workers), clock, measure, descriptors, ids)
     discovery = _discovery(config, settings, registry, scheduler, on_settled)
@@ -151,7 +151,9 @@
         jobs = _deferred_jobs(waiting, classes.requested, scheduler, config.name, descriptors, durable, clock)
     front = None
     if gearman and workers:
-        front = _gearman_front(gearman, workers, scheduler, config.name, jobs)
+        gearman_jobs = Jobs(gearman, scheduler, config.name, memory, jobs)
+        workers.workers.on_change = scheduler.update_endpoints
+        front = GearmanFront(gearman, gearman_jobs, workers, memory, input_queue)
     return Subsystems(
         config=config,
         clock=clock,
@@ -271,17 +273,6 @@
     return jobs
 
 
-def _gearman_front(
-    config: GearmanConfig,
-    transport: WorkerTransport,
-    scheduler: Scheduler,
-    name: str,
-    waiting: JobQueue | None,
-) -> GearmanFront:
-    transport.workers.on_change = scheduler.update_endpoints
-    return GearmanFront(config, Jobs(config, scheduler, name, waiting), transport)
-
-
 def _not_idempotent(classes: Iterable[JobClass]) -> frozenset[str]:
     """Return the names of the classes whose requests are not idempotent and must not simply be retried."""
     return frozenset(c.name for c in classes if c.retry_safety is not RetrySafety.IDEMPOTENT)
--- a/oxbowyard/gearman/codec.py
+++ b/oxbowyard/gearman/codec.py
@@ -79,11 +79,16 @@
         Raises:
             StreamError: The stream cannot be decoded any further. The items before that have been yielded.
         """
-        self._buffer += data
-        while (item := self._next_item()) is not None:
+        self.append(data)
+        while (item := self.next_item()) is not None:
             yield item
 
-    def _next_item(self) -> Packet | TextCommand | None:
+    def append(self, data: bytes) -> None:
+        """Add received data."""
+        self._buffer += data
+
+    def next_item(self) -> Packet | TextCommand | None:
+        """Return the next complete packet or line; None if more data is needed. Raises StreamError."""
         if not self._buffer:
             return None
         return self._next_packet() if self._buffer[0] == 0 else self._next_line()
--- a/oxbowyard/gearman/connection.py
+++ b/oxbowyard/gearman/connection.py
@@ -1,21 +1,24 @@
-"""A connection of the Gearman front: buffers, timers and the order of responses."""
+"""A connection of the Gearman front: its timers, and what is sent on it."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Protocol
 
-from ..listeners.disconnects import is_readable, peer_disconnected, unsent_bytes
-from .codec import Decoder, Packet, TextCommand, encode_error
+from ..core.memory_budget import MemoryBudget
+from ..listeners.disconnects import peer_disconnected, unsent_bytes
+from ..listeners.fair_queue import FairQueue
+from .codec import encode_error
 from .config import GearmanConfig
-from .errors import ErrorCode, StreamError
+from .errors import ErrorCode
+from .packet_input import CONNECTION_BYTES, PacketHandler, PacketInput
 
 log = logging.getLogger("oxbowyard.gearman")
 
-READ_CHUNK_BYTES = 16 * 1024  # about 1,300 packets, read from one peer before others are served
+READ_CHUNK_BYTES = 16 * 1024
+MAX_UNSENT_BYTES = 64 * 1024  # of responses that the peer does not read; then its packets wait
 DRAIN_TIMEOUT_S = 2.0  # for further input from the peer after an error that ends the connection
 MAX_UNREAD_PACKETS = 4  # of maximum size; a peer that leaves more unread is disconnected
 
@@ -32,27 +35,22 @@
     def count_error(self, code: ErrorCode) -> None:
         """Count an error that ends a connection."""
 
+    def count_unread(self) -> None:
+        """Count a connection that is aborted because its peer does not read."""
+
     def release(self, connection: Connection) -> None:
         """Remove a connection that has ended. May be called twice."""
 
 
-class PacketHandler(Protocol):
-    """Handles the packets and text commands of one connection."""
-
-    def handle(self, item: Packet | TextCommand) -> None:
-        """Handle one packet or command. Must not raise."""
-
-    def disconnect(self) -> None:
-        """Stop serving the peer. May be called twice."""
-
-
-class Connection(asyncio.Protocol):
+class Connection(PacketInput):
     """The connection of a client, worker or operator. One connection may act in all three roles.
 
     Args:
         config: The front's configuration.
         owner: The owner of all connections.
         make_handler: Creates the handler of the connection's packets.
+        memory: The budget that the connection draws from.
+        input_queue: Shares the event loop's time between the connections.
     """
 
     def __init__(
@@ -60,18 +58,14 @@
         config: GearmanConfig,
         owner: ConnectionOwner,
         make_handler: Callable[[Connection], PacketHandler],
+        memory: MemoryBudget,
+        input_queue: FairQueue,
     ) -> None:
+        super().__init__(config.max_packet_bytes, memory, input_queue)
         self._config = config
         self._owner = owner
         self._handler = make_handler(self)
-        self._decoder = Decoder(config.max_packet_bytes)
-        self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None  # for the first packet and for incomplete ones
-        self._has_ended = False  # nothing more is sent, and further input is discarded
-        self._inbox: deque[Packet | TextCommand] = deque()
-        self._stream_error: StreamError | None = None  # input after it cannot be decoded
-        self._is_input_paused = False
-        self.is_silent = True  # no complete packet or command received yet
         self.accepts_exceptions = False
         self.address = "-"
 
@@ -81,6 +75,8 @@
         self._transport = transport
         # With the transport's default size, one peer could block the event loop for 20,000 packets.
         transport.max_size = READ_CHUNK_BYTES  # type: ignore[attr-defined]
+        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        self._allocation.resize(CONNECTION_BYTES)
         peer = transport.get_extra_info("peername")
         self.address = str(peer[0]) if peer else "-"
         self._start_timer()
@@ -91,69 +87,17 @@
         """Release the connection after it has ended."""
         self._transport = None
         self._stop_timer()
+        self._release_input()
         self._release()
 
-    # ---- Receiving ----
-
-    def data_received(self, data: bytes) -> None:
-        """Decode data from the peer and handle the complete packets and commands."""
-        if self._has_ended or self._stream_error is not None:
+    def _check_incomplete(self, additional_bytes: int) -> None:
+        """Limit the time and the memory of an incomplete packet."""
+        if not self._decoder.buffered_bytes or not self._may_handle:
             return
-        buffered_before = self._decoder.buffered_bytes
-        for item in self._decode(data):
-            self.is_silent = False
-            self._stop_timer()
-            self._inbox.append(item)
-        self._handle_inbox()
-        if self._decoder.buffered_bytes and not self._has_ended:
-            self._start_timer()
-            if not self._owner.may_buffer(self._decoder.buffered_bytes - buffered_before):
-                text = "unfinished packets hold all the memory they may"
-                self.end(ErrorCode.TOO_MUCH_UNFINISHED, text)
-
-    def _decode(self, data: bytes) -> Iterator[Packet | TextCommand]:
-        """Yield the completed items. A stream error is stored until they have been handled."""
-        try:
-            yield from self._decoder.feed(data)
-        except StreamError as error:
-            self._stream_error = error
-            self._decoder.clear()
-
-    def _handle_inbox(self) -> None:
-        while (
-            self._inbox and not self._is_input_paused and self._transport is not None and not self._has_ended
-        ):
-            self._handler.handle(self._inbox.popleft())
-        if (
-            self._stream_error is not None
-            and not self._inbox
-            and not self._is_input_paused
-            and not self._has_ended
-        ):
-            self.end(self._stream_error.code, self._stream_error.text)
-
-    def pause_input(self) -> None:
-        """Stop handling input while a response is delayed, so that responses are sent in order."""
-        self._is_input_paused = True
-        if self._transport is not None:
-            self._transport.pause_reading()
-
-    def resume_input(self) -> None:
-        """Handle input again after the delayed response has been sent."""
-        self._is_input_paused = False
-        self._handle_inbox()
-        if not self._is_input_paused and self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-
-    @property
-    def buffered_bytes(self) -> int:
-        """The number of buffered bytes of an incomplete packet."""
-        return self._decoder.buffered_bytes
-
-    @property
-    def has_unread_data(self) -> bool:
-        """Whether data from the peer has arrived that the event loop has not read yet."""
-        return is_readable(self._transport)
+        self._start_timer()
+        if not self._owner.may_buffer(additional_bytes):
+            text = "unfinished packets hold all the memory they may"
+            self.end(ErrorCode.TOO_MUCH_UNFINISHED, text)
 
     def is_connected(self) -> bool:
         """Return whether the peer is connected. A disconnect that has not been read yet is noticed too."""
@@ -166,8 +110,15 @@
         if self._transport is None or self._transport.is_closing() or self._has_ended:
             return
         self._transport.write(data)
-        if self._transport.get_write_buffer_size() > MAX_UNREAD_PACKETS * self._config.max_packet_bytes:
-            log.warning("connection aborted, the peer does not read: peer=%s", self.address)
+        unsent = self._transport.get_write_buffer_size()
+        if unsent > MAX_UNREAD_PACKETS * self._config.max_packet_bytes:
+            self._abort_unread()
+        elif unsent:
+            self._update_cost()
+
+    def _abort_unread(self) -> None:
+        self._owner.count_unread()
+        if self._transport is not None:
             self._transport.abort()
 
     # ---- Ending ----
@@ -179,9 +130,11 @@
         would then lose the error.
         """
         self._owner.count_error(code)
+        self._decoder.clear()
+        self._input.clear()
         self.send(encode_error(code, text))
         self._has_ended = True
-        self._decoder.clear()
+        self._update_reading()
         if self._transport is not None and self._transport.can_write_eof():
             self._transport.write_eof()
         self._stop_timer()
@@ -226,7 +179,9 @@
 
     def _on_timeout(self) -> None:
         self._timer = None
-        if self._has_ended:
+        if self._input and not self._has_ended:  # the peer is not late, this process is
+            self._start_timer()
+        elif self._has_ended:
             self.close()
         else:
             self.end(ErrorCode.TOO_SLOW, "no whole packet came in time")
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -5,7 +5,9 @@
 import asyncio
 from collections import Counter
 
+from ..core.memory_budget import MemoryBudget
 from ..listeners.acceptor import Acceptor
+from ..listeners.fair_queue import FairQueue
 from .config import GearmanConfig
 from .connection import Connection
 from .errors import ErrorCode
@@ -24,10 +26,22 @@
         config: The configuration, whose `max_connections` limits the connections.
         jobs: Serves the clients.
         transport: Serves the workers.
+        memory: The budget that the connections draw from.
+        input_queue: Shares the event loop's time between the connections.
     """
 
-    def __init__(self, config: GearmanConfig, jobs: Jobs, transport: WorkerTransport) -> None:
+    def __init__(
+        self,
+        config: GearmanConfig,
+        jobs: Jobs,
+        transport: WorkerTransport,
+        memory: MemoryBudget,
+        input_queue: FairQueue,
+    ) -> None:
         self.config = config
+        self._memory = memory
+        self._input_queue = input_queue
+        memory.reclaimers.append(self._reclaim)
         self._jobs = jobs
         self._transport = transport
         self._commands = TextCommands(config, jobs, transport.workers)
@@ -66,7 +80,7 @@
 
     def make_connection(self) -> asyncio.Protocol:
         """Create the protocol of a new connection."""
-        return Connection(self.config, self, self._make_peer)
+        return Connection(self.config, self, self._make_peer, self._memory, self._input_queue)
 
     def _make_peer(self, connection: Connection) -> Peer:
         return Peer(connection, self._jobs, self._transport, self._commands)
@@ -95,6 +109,20 @@
             return True
         return sum(c.buffered_bytes for c in self._connections) <= self.config.max_buffered_bytes
 
+    def count_unread(self) -> None:
+        """Count a connection that is aborted because its peer does not read."""
+        self.counts["not reading"] += 1
+
+    def _reclaim(self, size_bytes: int) -> None:
+        """Release about `size_bytes` of memory, from the connections that hold most and are owed nothing."""
+        candidates = [c for c in self._connections if c.may_give_way]
+        candidates.sort(key=lambda connection: connection.cost_bytes, reverse=True)
+        for connection in candidates:
+            if size_bytes <= 0:
+                return
+            size_bytes -= connection.cost_bytes
+            connection.give_way()
+
     def count_error(self, code: ErrorCode) -> None:
         """Count an error that ends a connection."""
         self.counts[code.value.lower().replace("_", " ")] += 1
--- a/oxbowyard/gearman/job_limits.py
+++ b/oxbowyard/gearman/job_limits.py
@@ -32,6 +32,9 @@
         if self._table.payload_bytes + payload_bytes > self._config.max_held_bytes:
             text = "the jobs that wait hold all the memory they may"
             raise PacketRejectedError(ErrorCode.JOB_QUEUE_FULL, text)
+        if not self._table.has_space(payload_bytes):
+            text = "this scheduler holds all the memory it may"
+            raise PacketRejectedError(ErrorCode.JOB_QUEUE_FULL, text)
         if self.is_shutting_down:
             raise PacketRejectedError(ErrorCode.SHUTTING_DOWN, "this scheduler takes no more jobs")
         limit = self._limit(function.name, is_deferred)
--- a/oxbowyard/gearman/job_table.py
+++ b/oxbowyard/gearman/job_table.py
@@ -5,9 +5,14 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from ..core.memory_budget import Holder, MemoryBudget
 from .config import Function
 from .job import Job, JobClient
 
+JOB_BYTES = 12 * 1024  # records, task and timers of one job, in the front and in the core
+MAX_JOBS_SHARE = 0.5  # of the memory budget; the HTTP front needs the others
+PAYLOAD_COPIES = 2  # the workload, and the packet for the worker
+
 
 @dataclass(slots=True, frozen=True)
 class JobCounts:
@@ -25,7 +30,10 @@
 class JobTable:
     """All jobs that have not ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory: MemoryBudget) -> None:
+        """Create an empty table whose jobs draw from `memory`."""
+        self._memory = memory
+        self._allocation = memory.open(Holder.JOBS)
         self.payload_bytes = 0  # total size of the workloads of all jobs
         self._by_handle: dict[bytes, Job] = {}
         self._by_unique: dict[tuple[str, bytes], Job] = {}
@@ -33,11 +41,18 @@
         self._total: Counter[str] = Counter()  # by function
         self._running: Counter[str] = Counter()  # by function
 
+    def has_space(self, payload_bytes: int) -> bool:
+        """Return whether there is memory for one more job with a workload of this size."""
+        size_bytes = JOB_BYTES + PAYLOAD_COPIES * payload_bytes
+        max_bytes = self._memory.limit_bytes * MAX_JOBS_SHARE
+        return self._allocation.size_bytes + size_bytes <= max_bytes and self._memory.make_space(size_bytes)
+
     def add(self, handle: bytes, function: Function, unique: bytes, size: int, is_background: bool) -> Job:
         """Add a job. `size` is the size of its workload in bytes."""
         job = Job(handle, function, unique, is_background, size)
         self._by_handle[handle] = job
         self.payload_bytes += size
+        self._update_cost()
         self._total[function.name] += 1
         if unique:
             self._by_unique[function.name, unique] = job
@@ -49,6 +64,7 @@
             return
         name = job.function.name
         self.payload_bytes -= job.payload_bytes
+        self._update_cost()
         self._total[name] -= 1
         self._running[name] -= job.is_running
         for client in job.clients:
@@ -56,6 +72,10 @@
         if self._by_unique.get((name, job.unique)) is job:
             del self._by_unique[name, job.unique]
 
+    def _update_cost(self) -> None:
+        cost = JOB_BYTES * len(self._by_handle) + PAYLOAD_COPIES * self.payload_bytes
+        self._allocation.resize(cost)
+
     def find(self, handle: bytes) -> Job | None:
         """Return the job with this handle, or None."""
         return self._by_handle.get(handle)
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -7,6 +7,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from ..core.memory_budget import MemoryBudget
 from ..core.request import Answer, AnswerKind, Request
 from ..core.scheduler import Scheduler
 from ..decision.settings import RetrySafety
@@ -36,15 +37,21 @@
         config: The front's configuration.
         scheduler: Serves the jobs that are not deferred.
         name: The scheduler's name, which is part of each job's handle.
+        memory: The budget that the jobs draw from.
         queue: The queue of deferred jobs; None if no job is deferred.
     """
 
     def __init__(
-        self, config: GearmanConfig, scheduler: Scheduler, name: str, queue: JobQueue | None = None
+        self,
+        config: GearmanConfig,
+        scheduler: Scheduler,
+        name: str,
+        memory: MemoryBudget,
+        queue: JobQueue | None = None,
     ) -> None:
         self._functions = config.functions
         self._scheduler = scheduler
-        self._table = JobTable()
+        self._table = JobTable(memory)
         self.limits = JobLimits(config, self._table)
         self._deferred: DeferredJobs | None = None
         self._numbers = itertools.count(1)
--- a/oxbowyard/gearman/workers.py
+++ b/oxbowyard/gearman/workers.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import itertools
+import sys
 from collections.abc import Callable
 
+from ..core.memory_budget import Holder, MemoryBudget
 from ..decision.facade import Readiness, Scope, WorkerInfo
 from ..waiting.job import AGED_CLASS_SUFFIX
 from .config import KIND, GearmanConfig
@@ -13,6 +15,8 @@
 
 UpdateEndpoints = Callable[[Scope, tuple[WorkerInfo, ...], str], None]
 
+ABILITY_BYTES = 150  # of one function in addition to its name
+MAX_ABILITIES_SHARE = 1 / 8  # of the memory budget, for the functions of all workers
 MAX_ABILITIES = 256  # per worker, since the name of each ability is kept in memory
 
 
@@ -24,8 +28,10 @@
         on_change: Called with changes to the list of backends; set by the owner.
     """
 
-    def __init__(self, config: GearmanConfig) -> None:
+    def __init__(self, config: GearmanConfig, memory: MemoryBudget) -> None:
         self._functions = config.functions
+        self._memory = memory
+        self._allocation = memory.open(Holder.GEARMAN)  # the names of all workers' functions
         self._numbers = itertools.count(1)
         self.connected: dict[str, Worker] = {}  # by name
         self.on_change: UpdateEndpoints = lambda scope, infos, source: None
@@ -39,7 +45,7 @@
     def unregister(self, worker: Worker) -> None:
         """Remove a worker whose connection has ended."""
         del self.connected[worker.name]
-        worker.abilities.clear()
+        self._clear_abilities(worker)
         self.announce(worker)  # first, so that no retry of the ended attempts selects this worker
         worker.end_all()
 
@@ -52,20 +58,27 @@
             PacketRejectedError: The worker has too many functions.
         """
         name = _function_name(function)
-        if name not in worker.abilities and len(worker.abilities) >= MAX_ABILITIES:
-            text = "a worker announces this many functions at most"
-            raise PacketRejectedError(ErrorCode.TOO_MANY_FUNCTIONS, text)
+        if name not in worker.abilities:
+            if len(worker.abilities) >= MAX_ABILITIES:
+                text = "a worker announces this many functions at most"
+                raise PacketRejectedError(ErrorCode.TOO_MANY_FUNCTIONS, text)
+            if not self._has_space(_ability_bytes(name)):
+                text = "the functions of all workers hold all the memory they may"
+                raise PacketRejectedError(ErrorCode.TOO_MANY_FUNCTIONS, text)
+            self._allocation.resize(self._allocation.size_bytes + _ability_bytes(name))
         worker.abilities[name] = limit_s
         self.announce(worker)
 
     def remove_ability(self, worker: Worker, function: bytes) -> None:
         """Remove a function from the worker."""
-        worker.abilities.pop(_function_name(function), None)
+        name = _function_name(function)
+        if worker.abilities.pop(name, None) is not None:
+            self._allocation.resize(self._allocation.size_bytes - _ability_bytes(name))
         self._announce_removal(worker)
 
     def reset_abilities(self, worker: Worker) -> None:
         """Remove all functions from the worker."""
-        worker.abilities.clear()
+        self._clear_abilities(worker)
         self._announce_removal(worker)
 
     def announce(self, worker: Worker) -> None:
@@ -84,6 +97,15 @@
         """Return the number of workers that can do a function."""
         return sum(function in worker.abilities for worker in self.connected.values())
 
+    def _has_space(self, size_bytes: int) -> bool:
+        max_bytes = self._memory.limit_bytes * MAX_ABILITIES_SHARE
+        return self._allocation.size_bytes + size_bytes <= max_bytes and self._memory.make_space(size_bytes)
+
+    def _clear_abilities(self, worker: Worker) -> None:
+        released = sum(_ability_bytes(name) for name in worker.abilities)
+        self._allocation.resize(self._allocation.size_bytes - released)
+        worker.abilities.clear()
+
     def _announce_removal(self, worker: Worker) -> None:
         self.announce(worker)
         worker.reject_ungrabbable("worker took the function back")
@@ -95,5 +117,10 @@
     return Readiness.DRAINING if worker.holds_ended_job else Readiness.READY
 
 
+def _ability_bytes(name: str) -> int:
+    """Return what one function of a worker takes in memory."""
+    return ABILITY_BYTES + sys.getsizeof(name)
+
+
 def _function_name(function: bytes) -> str:
     return function.decode("utf-8", "replace")
--- a/tests/test_ends_of_the_program.py
+++ b/tests/test_ends_of_the_program.py
@@ -115,6 +115,6 @@
         raise MemoryError
 
     monkeypatch.setattr(main_module, "_run", fail)
-    monkeypatch.setattr(main_module.faulthandler, "enable", lambda: None)
+    monkeypatch.setattr("faulthandler.enable", lambda: None)
     assert main_module.main([]) == main_module.EXIT_FAILED
     assert "process ends, unexpected error: error=MemoryError()" in caplog.text
--- a/tests/test_gearman_durable.py
+++ b/tests/test_gearman_durable.py
@@ -13,6 +13,7 @@
 from test_durable import DurableHarness, play
 from test_job_queue import FREE, ONCE, Attempt, answer_ok, hang
 
+from oxbowyard.core.memory_budget import MemoryBudget
 from oxbowyard.decision.events import WorkerInfo
 from oxbowyard.gearman.codec import encode
 from oxbowyard.gearman.config import KIND, GearmanConfig, parse
@@ -62,7 +63,9 @@
         monkeypatch.setattr("test_job_queue.CLASSES", (FREE, ONCE, *config_classes()))
         self.harness = DurableHarness(path, attempt)
         self.harness.queue_harness.update_endpoints(*(WorkerInfo(f"g{i}", kind=KIND) for i in range(4)))
-        self.jobs = Jobs(config(), self.harness.queue_harness.scheduler, "t", self.harness.job_queue)
+        self.jobs = Jobs(
+            config(), self.harness.queue_harness.scheduler, "t", MemoryBudget(1 << 26), self.harness.job_queue
+        )
 
     def submit(self, packet_type: PacketType, function: str = "file", unique: bytes = b"u1") -> Client:
         client = Client()
--- a/tests/test_gearman_stream.py
+++ b/tests/test_gearman_stream.py
@@ -8,12 +8,15 @@
 from test_gearman_chaos import packet
 from test_job_queue import FREE, ONCE
 
+from oxbowyard.core.memory_budget import Holder, MemoryBudget
 from oxbowyard.gearman.codec import Packet, TextCommand
 from oxbowyard.gearman.config import parse
 from oxbowyard.gearman.connection import Connection
 from oxbowyard.gearman.errors import ErrorCode
+from oxbowyard.gearman.packet_input import CONNECTION_BYTES, SLICE_PACKETS
 from oxbowyard.gearman.packet_types import PacketType
 from oxbowyard.gearman.submission import parse_submission
+from oxbowyard.listeners.fair_queue import FairQueue
 
 CONFIG = parse({"listen": "127.0.0.1:0", "functions": {"f": {"class": "free"}}}, (FREE, ONCE))
 ECHO, SUBMIT_BACKGROUND = 16, 18
@@ -32,6 +35,9 @@
     def count_error(self, code: ErrorCode) -> None:
         self.errors.append(code)
 
+    def count_unread(self) -> None:
+        pass
+
     def release(self, connection: Connection) -> None:
         pass
 
@@ -66,6 +72,9 @@
     def is_closing(self) -> bool:
         return False
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
     def can_write_eof(self) -> bool:
         return False
 
@@ -100,13 +109,16 @@
             handlers.append(Handler(connection, pauses))
             return handlers[-1]
 
-        connection = Connection(CONFIG, owner, make)
+        connection = Connection(CONFIG, owner, make, MemoryBudget(1 << 26), FairQueue())
         connection.connection_made(Transport())
         for start in range(0, len(data), piece):
             connection.data_received(data[start : start + piece])
+            await asyncio.sleep(0)
         if pauses:
             assert len(handlers[0].items) == 1 and owner.errors == []
             connection.resume_input()
+        for _ in range(100):  # the connection handles its input in slices
+            await asyncio.sleep(0)
         assert [item.type for item in handlers[0].items if isinstance(item, Packet)] == [
             ECHO,
             SUBMIT_BACKGROUND,
@@ -126,3 +138,48 @@
     assert other.unique != submission.unique
     plain = parse_submission(PacketType.SUBMIT_JOB, [b"f", b"-", b"sheet"], CONFIG.functions, False)
     assert plain.unique == b"sheet"
+
+
+def test_peer_that_does_not_read_has_no_further_packets_handled() -> None:
+    # Guards against responses that pile up for peers which read none of them (issue 56).
+    async def scene() -> None:
+        handlers: list[Handler] = []
+
+        def make(connection: Connection) -> Handler:
+            handlers.append(Handler(connection, False))
+            return handlers[-1]
+
+        memory = MemoryBudget(1 << 26)
+        connection = Connection(CONFIG, Owner(), make, memory, FairQueue())
+        connection.connection_made(Transport())
+        connection.pause_writing()
+        connection.data_received(GOOD)
+        for _ in range(100):
+            await asyncio.sleep(0)
+        assert handlers[0].items == [] and memory.used_by[Holder.GEARMAN] == CONNECTION_BYTES + len(GOOD)
+        connection.resume_writing()
+        for _ in range(100):
+            await asyncio.sleep(0)
+        assert len(handlers[0].items) == 2
+        connection.connection_lost(None)
+        assert memory.used_bytes == 0
+
+    asyncio.run(scene())
+
+
+def test_one_peer_handles_a_few_packets_at_a_time() -> None:
+    # Guards against one connection that holds the event loop for thousands of packets (issue 56).
+    async def scene() -> None:
+        handlers: list[Handler] = []
+
+        def make(connection: Connection) -> Handler:
+            handlers.append(Handler(connection, False))
+            return handlers[-1]
+
+        connection = Connection(CONFIG, Owner(), make, MemoryBudget(1 << 26), FairQueue())
+        connection.connection_made(Transport())
+        connection.data_received(packet(ECHO, b"") * 5000)
+        assert len(handlers[0].items) == SLICE_PACKETS
+        connection.connection_lost(None)
+
+    asyncio.run(scene())
