--- a/oxbowyard/backends/http.py
+++ b/oxbowyard/backends/http.py
@@ -11,6 +11,7 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
+from ..core.memory_budget import Holder, MemoryBudget
 from ..core.request import (
     AttemptContext,
     AttemptOutcome,
@@ -24,12 +25,16 @@
 from ..discovery.registry import Registry
 from .answer_lines import MAX_LINES, AnswerReader, outcome_of_status
 from .answer_tail import ANSWER_READ_ERRORS, AnswerTooLongError, TailReader
+from .line_reader import LineReader
 from .load_report import parse_load_header
 
 LAST_BYTE_DELAY_S = 0.010  # before the last byte of a body, for a job that must not run twice
-READ_BUFFER_BYTES = 1 << 18  # aiohttp reads lines of up to twice this; 64 KiB may grow sixfold in JSON
+READ_CHUNK_BYTES = 16 * 1024  # read from one worker at once
+READ_BUFFER_BYTES = 16 * 1024  # aiohttp pauses the connection past twice this of an answer that is not read
+MAX_HEADER_BYTES = 4096
 MAX_ANSWER_BYTES = 1 << 20  # enough for a result and progress every second for an hour
 MAX_TAILS = 64
+DEFAULT_BUDGET_BYTES = 64 << 20
 
 DEADLINE_HEADER = "Req-Deadline"  # how long the scheduler waits, in milliseconds, with the unit suffix `m`
 DECLINED_HEADER = "Srv-Declined"
@@ -50,6 +55,8 @@
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
         """Write the headers and start writing the body."""
         time_left_s = float(self.headers[DEADLINE_HEADER].removesuffix("m")) / 1000
+        if conn.transport is not None:
+            conn.transport.max_size = READ_CHUNK_BYTES  # type: ignore[attr-defined]
         elapsed_s = self.loop.time() - self._created_at
         self.headers[DEADLINE_HEADER] = _format_ms(time_left_s - elapsed_s)
         return await super().send(conn)
@@ -64,6 +71,7 @@
         connect_timeout_ms: Timeout for establishing a connection.
         non_repeatable: The classes whose jobs must not run twice.
         max_tails: Maximum number of connections that are read to the end of an answer whose outcome is known.
+        memory: The budget that the answers draw from; None for one of this transport's own.
     """
 
     def __init__(
@@ -73,8 +81,10 @@
         connect_timeout_ms: float,
         non_repeatable: Collection[str] = (),
         max_tails: int = MAX_TAILS,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self._registry = registry
+        self._memory = memory or MemoryBudget(DEFAULT_BUDGET_BYTES)
         self._load_names = load_names
         self._tails = TailReader(max_tails)
         self._session = _session(connect_timeout_ms)
@@ -155,11 +165,20 @@
 
     async def _read_lines(
         self, response: aiohttp.ClientResponse, request: Request, context: AttemptContext
+    ) -> AttemptOutcome:
+        allocation = self._memory.open(Holder.ANSWERS)
+        try:
+            return await self._read_lines_within(LineReader(response, allocation), request, context)
+        finally:
+            allocation.release()
+
+    async def _read_lines_within(
+        self, lines: LineReader, request: Request, context: AttemptContext
     ) -> AttemptOutcome:
         reader = AnswerReader(request.id, self._load_names)
         start_reported = False
         size = 0
-        while line := await response.content.readline():
+        while line := await lines.read_line():
             size += len(line)
             if size > MAX_ANSWER_BYTES or reader.line_count >= MAX_LINES:
                 raise AnswerTooLongError
@@ -188,6 +207,8 @@
         trust_env=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         read_bufsize=READ_BUFFER_BYTES,
+        max_line_size=MAX_HEADER_BYTES,
+        max_field_size=MAX_HEADER_BYTES,
     )
 
 
--- a/oxbowyard/core/memory_budget.py
+++ b/oxbowyard/core/memory_budget.py
@@ -55,6 +55,15 @@
         self.resize(size_bytes)
         return True
 
+    def try_resize_owed(self, size_bytes: int) -> bool:
+        """Set the size like `try_resize`, with the part of the budget too that is for what is owed."""
+        growth = size_bytes - self.size_bytes
+        if growth > 0 and not self._budget.make_space(growth, is_owed=True):
+            self._budget.refused[self._holder] += 1
+            return False
+        self.resize(size_bytes)
+        return True
+
     def resize(self, size_bytes: int) -> None:
         """Set the size even beyond the budget, for memory that is held already or is owed to a request."""
         self._budget.add(self._holder, size_bytes - self.size_bytes)
@@ -98,18 +107,18 @@
         finally:
             allocation.release()
 
-    @property
-    def free_bytes(self) -> int:
-        """The space for new work, in bytes; not below 0."""
-        return max(int(self.limit_bytes * NEW_WORK_SHARE) - self.used_bytes, 0)
+    def free_bytes(self, is_owed: bool = False) -> int:
+        """Return the space for new work, or for what is owed to work that was taken; not below 0."""
+        share = 1.0 if is_owed else NEW_WORK_SHARE
+        return max(int(self.limit_bytes * share) - self.used_bytes, 0)
 
-    def make_space(self, size_bytes: int) -> bool:
-        """Return whether there is space for new work of this size, after reclaiming if necessary."""
-        if size_bytes <= self.free_bytes:
+    def make_space(self, size_bytes: int, is_owed: bool = False) -> bool:
+        """Return whether there is space for this many bytes, after reclaiming if necessary."""
+        if size_bytes <= self.free_bytes(is_owed):
             return True
         if not self._is_reclaiming:
             self._reclaim(max(size_bytes, int(self.limit_bytes * RECLAIM_SHARE)))
-        return size_bytes <= self.free_bytes
+        return size_bytes <= self.free_bytes(is_owed)
 
     def add(self, holder: Holder, size_bytes: int) -> None:
         """Count a change of what a holder holds; negative if it was released."""
@@ -121,7 +130,7 @@
         self._is_reclaiming = True
         try:
             for reclaim in self.reclaimers:
-                if (missing := size_bytes - self.free_bytes) > 0:
+                if (missing := size_bytes - self.free_bytes()) > 0:
                     reclaim(missing)
         finally:
             self._is_reclaiming = False
--- a/oxbowyard/daemon/composition.py
+++ b/oxbowyard/daemon/composition.py
@@ -141,7 +141,7 @@
     descriptors = _descriptors(config, gearman)
     memory = MemoryBudget(budget_bytes(config.memory_mb, DEFAULT_REST_BYTES))
     input_queue = FairQueue()
-    backends = _http_backends(config, settings, registry, descriptors)
+    backends = _http_backends(config, settings, registry, descriptors, memory)
     workers = WorkerTransport(Workers(gearman, memory)) if gearman else None
     ids = RememberedIds(memory, asyncio.get_running_loop().time, shared_ids or UnsharedIds())
     scheduler = _scheduler(config, settings, _transport(backends, workers), clock, measure, descriptors, ids)
@@ -209,7 +209,11 @@
 
 
 def _http_backends(
-    config: Config, settings: Settings, registry: Registry, descriptors: DescriptorBudget
+    config: Config,
+    settings: Settings,
+    registry: Registry,
+    descriptors: DescriptorBudget,
+    memory: MemoryBudget,
 ) -> HttpBackends:
     return HttpBackends(
         registry,
@@ -217,6 +221,7 @@
         settings.connect_timeout_ms,
         _not_idempotent(settings.classes),
         descriptors.tails,
+        memory,
     )
 
 
--- a/oxbowyard/discovery/watch.py
+++ b/oxbowyard/discovery/watch.py
@@ -18,6 +18,7 @@
 DISCOVERY_PATH = "/discovery/hosts"
 CATCH_UP_WAIT_MS = 1  # missed changes are requested without a wait; only then a watch begins
 MAX_CONNECTIONS = 2
+MAX_LIST_BYTES = 8 << 20  # eight times a list of 3,200 workers
 STATUS_OK = 200
 
 
@@ -108,10 +109,10 @@
             raise PollError(PollFailure.ERROR_STATUS, f"status {status}")
         return self._parse(body)
 
-    async def _get(self, session: aiohttp.ClientSession, url: URL, timeout_s: float) -> tuple[int, bytes]:
+    async def _get(self, session: aiohttp.ClientSession, url: URL, timeout_s: float) -> tuple[int, bytearray]:
         try:
             async with asyncio.timeout(timeout_s), session.get(url, allow_redirects=False) as response:
-                return response.status, await response.read()
+                return response.status, await _read_list(response)
         except aiohttp.ConnectionTimeoutError as error:  # a subclass of TimeoutError, so it comes first
             raise PollError(PollFailure.UNREACHABLE, error) from error
         except TimeoutError as error:
@@ -119,7 +120,7 @@
         except (aiohttp.ClientError, OSError) as error:
             raise PollError(PollFailure.UNREACHABLE, error) from error
 
-    def _parse(self, body: bytes) -> WatchEvent:
+    def _parse(self, body: bytearray) -> WatchEvent:
         try:
             event = parse_endpoint_list(orjson.loads(body))
         except ValueError as error:  # MalformedListError or invalid JSON
@@ -149,3 +150,13 @@
         if self._is_failing:
             log.info("discovery available again: address=%s", self.address)
         self._is_failing = False
+
+
+async def _read_list(response: aiohttp.ClientResponse) -> bytearray:
+    """Read the body of an answer. Raises PollError if it is larger than any list."""
+    body = bytearray()
+    while data := await response.content.readany():
+        body += data
+        if len(body) > MAX_LIST_BYTES:
+            raise PollError(PollFailure.UNREACHABLE, f"a list of over {MAX_LIST_BYTES} bytes")
+    return body
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -8,6 +8,7 @@
 import pytest
 
 from oxbowyard.backends.http import HttpBackends
+from oxbowyard.core.memory_budget import MemoryBudget
 from oxbowyard.core.request import AttemptContext, AttemptOutcome, Request
 from oxbowyard.decision.facade import Result
 from oxbowyard.discovery.endpoint_list import parse_endpoint_list
@@ -121,3 +122,50 @@
 
     asyncio.run(scenario())
     assert len(ports) == len(set(ports)) == 3
+
+
+def _answer_memory(answer: bytes, attempts: int, limit_bytes: int) -> tuple[list[AttemptOutcome], int]:
+    """Make attempts at once at a worker that sends this answer; return the outcomes and the peak memory."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n" + answer)
+            await writer.drain()
+            await reader.read()
+        writer.close()
+
+    async def scenario() -> tuple[list[AttemptOutcome], int]:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        registry = Registry(lambda: 0.0, 1000.0)
+        apply_entry(registry, server.sockets[0].getsockname()[1], "ready")
+        memory = MemoryBudget(limit_bytes)
+        backends = HttpBackends(registry, {}, 250.0, memory=memory)
+        request = Request("r", "preview", 3.0, "/x")
+        pending = [
+            asyncio.wait_for(backends.attempt("w", request, AttemptContext(3.0, lambda: None)), 3.0)
+            for _ in range(attempts)
+        ]
+        outcomes = await asyncio.gather(*pending)
+        await backends.close()
+        server.close()
+        assert memory.used_bytes == 0
+        return outcomes, memory.peak_bytes
+
+    return asyncio.run(scenario())
+
+
+def test_answers_without_an_end_are_read_within_the_memory_budget() -> None:
+    # Guards against worker answers that fill the memory, each up to its own limit (issue 56).
+    limit_bytes = 1 << 20
+    outcomes, peak_bytes = _answer_memory(b"x" * 3_000_000, 20, limit_bytes)
+    assert {outcome.result for outcome in outcomes} == {Result.RESET}
+    assert peak_bytes <= limit_bytes
+
+
+def test_largest_result_of_the_protocol_is_read() -> None:
+    # Guards against a limit that rejects 64 KiB which JSON has escaped.
+    result = "\\u0001" * 65536
+    line = f'{{"id":"r","state":"started"}}\n{{"id":"r","state":"done","result":"{result}"}}\n'.encode()
+    ((outcome,), _) = _answer_memory(line, 1, 16 << 20)
+    assert outcome.result is Result.OK and outcome.body == b"\x01" * 65536
