--- a/oxbowyard/core/attempts.py
+++ b/oxbowyard/core/attempts.py
@@ -10,11 +10,15 @@
 
 from ..decision.facade import Result, StartAttempt
 from .deadlines import Deadlines
+from .log_limit import LogLimit
 from .open_request import OpenRequest, RunningAttempt
 from .request import AttemptContext, AttemptOutcome, AttemptUpdate, BackendTransport, Request
 
 log = logging.getLogger("oxbowyard.core")
 
+LOG_INTERVAL_S = 10.0
+MAX_LOGGED_ATTEMPTS = 200  # lines on attempts that were not served, in each interval
+
 
 class AttemptObserver(Protocol):
     """The receiver of the events of each attempt."""
@@ -48,6 +52,7 @@
         self._deadlines = deadlines
         self._observer = observer
         self._claim_run = claim_run
+        self._log_limit = LogLimit(MAX_LOGGED_ATTEMPTS, LOG_INTERVAL_S, self._loop.time)
 
     def start(self, entry: OpenRequest, action: StartAttempt) -> None:
         """Start an attempt. If a rule forbids it, report it as not sent in the next loop iteration."""
@@ -127,9 +132,29 @@
         if outcome.result is Result.OK and entry.run_started_at is not None:
             entry.run_time_s = now - entry.run_started_at
         duration_ms = (now - attempt.sent_at) * 1000
-        _log_outcome(entry, attempt.action, outcome, duration_ms)
+        self._log_outcome(entry, attempt.action, outcome, duration_ms)
         self._observer.attempt_ended(entry, attempt.action, outcome, duration_ms)
 
+    def _log_outcome(
+        self, entry: OpenRequest, action: StartAttempt, outcome: AttemptOutcome, duration_ms: float
+    ) -> None:
+        if outcome.result is Result.OK:
+            if log.isEnabledFor(logging.DEBUG):
+                attempt = _describe(entry, action)
+                log.debug("attempt served: %s duration_ms=%.0f load=%s", attempt, duration_ms, outcome.load)
+            return
+        if not self._log_limit.allows_line():
+            return
+        if left_out := self._log_limit.take_left_out():
+            log.info("lines on attempts left out: count=%d", left_out)
+        log.info(
+            "attempt not served: %s result=%s duration_ms=%.0f reason=%s",
+            _describe(entry, action),
+            outcome.result.value,
+            duration_ms,
+            outcome.reason,
+        )
+
 
 def _cancelled_outcome(entry: OpenRequest, attempt: RunningAttempt) -> AttemptOutcome:
     if not attempt.context.is_last_byte_written:
@@ -145,20 +170,3 @@
 def _trace(event: str, entry: OpenRequest, action: StartAttempt) -> None:
     if log.isEnabledFor(logging.DEBUG):
         log.debug("%s: %s", event, _describe(entry, action))
-
-
-def _log_outcome(
-    entry: OpenRequest, action: StartAttempt, outcome: AttemptOutcome, duration_ms: float
-) -> None:
-    if outcome.result is Result.OK:
-        if log.isEnabledFor(logging.DEBUG):
-            attempt = _describe(entry, action)
-            log.debug("attempt served: %s duration_ms=%.0f load=%s", attempt, duration_ms, outcome.load)
-        return
-    log.info(
-        "attempt not served: %s result=%s duration_ms=%.0f reason=%s",
-        _describe(entry, action),
-        outcome.result.value,
-        duration_ms,
-        outcome.reason,
-    )
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,6 +9,7 @@
 import pytest
 
 from oxbowyard.core.clock import make_unix_ms_clock
+from oxbowyard.core.log_limit import LogLimit
 from oxbowyard.core.request import Answer, AnswerKind, AttemptContext, AttemptOutcome, Request
 from oxbowyard.core.scheduler import Limits, Scheduler
 from oxbowyard.core.service_measure import ServiceMeasure
@@ -204,3 +205,13 @@
     measure.record_answer("free", AnswerKind.SERVED, 0.5, 0.2)
     measure.record_answer("once", AnswerKind.SERVED, 1.5, 0.2)  # too late
     assert measure.share == pytest.approx(1 / 9)
+
+
+def test_lines_that_peers_cause_are_limited() -> None:
+    # Guards against a line for each peer, which fills the log while hundreds misbehave (issue 56).
+    now = 0.0
+    limit = LogLimit(3, 10.0, lambda: now)
+    assert [limit.allows_line() for _ in range(5)] == [True] * 3 + [False] * 2
+    assert limit.take_left_out() == 0  # reported once an interval, not with each line
+    now = 10.0
+    assert limit.allows_line() and limit.take_left_out() == 2 and limit.take_left_out() == 0
