--- a/oxbowyard/daemon/composition.py
+++ b/oxbowyard/daemon/composition.py
@@ -148,7 +148,9 @@
     discovery = _discovery(config, settings, registry, scheduler, on_settled)
     jobs = None
     if waiting is not None:
-        jobs = _deferred_jobs(waiting, classes.requested, scheduler, config.name, descriptors, durable, clock)
+        jobs = _deferred_jobs(
+            waiting, classes.requested, scheduler, config.name, descriptors, durable, clock, memory
+        )
     front = None
     if gearman and workers:
         gearman_jobs = Jobs(gearman, scheduler, config.name, memory, jobs)
@@ -266,12 +268,15 @@
     descriptors: DescriptorBudget,
     durable: DurableStore | None,
     clock: Callable[[], float],
+    memory: MemoryBudget,
 ) -> JobQueue:
+    from ..waiting.job_memory import with_bounded_memory
     from ..waiting.job_queue import JobQueue, with_bounded_window
 
     journal = durable.journal if durable else None
     settings = with_bounded_window(settings, descriptors.requests)
-    jobs = JobQueue(settings, classes, scheduler, clock, name, journal=journal)
+    settings = with_bounded_memory(settings, memory.limit_bytes)
+    jobs = JobQueue(settings, classes, scheduler, clock, name, journal=journal, memory=memory)
     if durable is not None:
         jobs.set_last_number(durable.last_number)
         jobs.intake.is_recovering = True
--- a/oxbowyard/gearman/connection.py
+++ b/oxbowyard/gearman/connection.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from ..core.memory_budget import MemoryBudget
-from ..listeners.disconnects import peer_disconnected, unsent_bytes
+from ..listeners.disconnects import is_readable, peer_disconnected, unsent_bytes
 from ..listeners.fair_queue import FairQueue
 from .codec import encode_error
 from .config import GearmanConfig
@@ -99,6 +99,11 @@
             text = "unfinished packets hold all the memory they may"
             self.end(ErrorCode.TOO_MUCH_UNFINISHED, text)
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether data from the peer has arrived that the event loop has not read yet."""
+        return is_readable(self._transport)
+
     def is_connected(self) -> bool:
         """Return whether the peer is connected. A disconnect that has not been read yet is noticed too."""
         return not peer_disconnected(self._transport)
--- a/oxbowyard/gearman/packet_input.py
+++ b/oxbowyard/gearman/packet_input.py
@@ -10,7 +10,6 @@
 from typing import Protocol
 
 from ..core.memory_budget import Holder, MemoryBudget
-from ..listeners.disconnects import is_readable
 from ..listeners.fair_queue import NOTHING_MORE, FairQueue, RecentUse, SliceResult
 from ..listeners.input_buffer import InputBuffer
 from .codec import Decoder, Packet, TextCommand
@@ -187,11 +186,6 @@
         """The number of buffered bytes of an incomplete packet."""
         return self._decoder.buffered_bytes
 
-    @property
-    def has_unread_data(self) -> bool:
-        """Whether data from the peer has arrived that the event loop has not read yet."""
-        return is_readable(self._transport)
-
     def _release_input(self) -> None:
         """Release the memory of a connection that has ended."""
         self._input_queue.discard(self)
--- a/oxbowyard/waiting/job_queue.py
+++ b/oxbowyard/waiting/job_queue.py
@@ -14,6 +14,7 @@
 
 from msgspec import structs
 
+from ..core.memory_budget import MemoryBudget
 from ..core.repeats import MS_PER_S
 from ..core.request import Answer, AnswerKind, Request, RunState
 from ..core.scheduler import Scheduler
@@ -35,6 +36,7 @@
 )
 from .job_ids import JobIds
 from .job_intake import JobIntake
+from .job_memory import JobMemory
 from .journal import InMemoryJournal, JobJournal, JobRecord
 from .policy import WaitingPolicy
 from .policy_driver import PolicyDriver
@@ -64,8 +66,13 @@
         name: str = "oxbowyard",
         wall_clock: Callable[[], float] = time.time,
         journal: JobJournal | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
-        """`clock` is steady, in milliseconds; `wall_clock` is Unix time in seconds; `name` begins job ids."""
+        """Create an empty queue.
+
+        `clock` is steady, in milliseconds; `wall_clock` is Unix time in seconds; `name` begins job ids.
+        `memory` is the budget that the jobs draw from; None for no common limit.
+        """
         self.settings = settings
         self._clock = clock
         self._journal: JobJournal = journal or InMemoryJournal()
@@ -88,6 +95,8 @@
             clock,
             self._driver.drive,
         )
+        if memory is not None:
+            self._driver.on_driven = JobMemory(memory, self._policy.held).update
         self.intake = JobIntake(
             settings,
             self._policy,
--- a/oxbowyard/waiting/policy_driver.py
+++ b/oxbowyard/waiting/policy_driver.py
@@ -45,6 +45,7 @@
         self.results: dict[str, JobResult] = {}  # by job id, until the job is purged
         self.resolved_by: dict[str, str] = {}  # operators, by the ids of jobs that are about to end
         self.outcomes = dict.fromkeys(JobOutcome, 0)  # counts since the start of the program, for operators
+        self.on_driven: Callable[[], None] = lambda: None  # called after each change of the jobs
         self.is_stopping = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at_ms = 0.0
@@ -72,6 +73,7 @@
                     self._execute(action)
         finally:
             self._is_driving = False
+            self.on_driven()
         if self._is_idle():
             self._idle.set()
         self._set_timer(self._policy.next_tick_ms(now), now)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import builtins
+import tempfile
 from pathlib import Path
 
 import pytest
@@ -35,6 +36,13 @@
     return parse_known_red(KNOWN_RED.read_text()) if KNOWN_RED.exists() else {}
 
 
+@pytest.fixture(autouse=True)
+def own_temporary_folder(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Give each test a `$TMPDIR` of its own, as each process has on the platform: a scheduler remembers there
+    which request ids it has sent, and the tests use the same ids again."""
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Add a strict xfail marker to each listed test: one that passes fails the run while it is listed."""
     entries = read_known_red()
--- a/tests/test_job_queue.py
+++ b/tests/test_job_queue.py
@@ -12,6 +12,7 @@
 import pytest
 from virtual_loop import run_in_virtual_time
 
+from oxbowyard.core.memory_budget import Holder, MemoryBudget
 from oxbowyard.core.request import Answer, AnswerKind, AttemptContext, AttemptOutcome, Request, RunState
 from oxbowyard.core.scheduler import Limits, Scheduler
 from oxbowyard.core.service_measure import ServiceMeasure
@@ -23,6 +24,7 @@
 )
 from oxbowyard.decision.facade import Facade, Readiness, Result, Scope, WorkerInfo
 from oxbowyard.decision.settings import JobClass, RetrySafety, Settings
+from oxbowyard.waiting.held_jobs import HeldJobs
 from oxbowyard.waiting.job import (
     AGED_CLASS_SUFFIX,
     Dependency,
@@ -34,6 +36,7 @@
     StateChanged,
     WaitOptions,
 )
+from oxbowyard.waiting.job_memory import JOB_BYTES, JobMemory, with_bounded_memory
 from oxbowyard.waiting.job_queue import JobQueue, with_aged_classes, with_bounded_window
 from oxbowyard.waiting.journal import InMemoryJournal
 from oxbowyard.waiting.settings import ClassSettings, WaitingSettings
@@ -479,3 +482,18 @@
         gc.callbacks.pop()
         if enabled:
             gc.enable()
+
+
+def test_deferred_jobs_draw_from_the_memory_budget() -> None:
+    # Guards against jobs that wait within limits of their own and beyond the memory of the process (issue 56).
+    settings = with_bounded_memory(WaitingSettings(), 12 << 20)
+    assert settings.max_held_bytes == 4 << 20 and settings.max_ended_bytes == 3 << 20
+    assert settings.max_jobs == settings.max_ended == (12 << 20) // 8 // JOB_BYTES
+    assert with_bounded_memory(WaitingSettings(), 1 << 30) == WaitingSettings()
+    budget, held = MemoryBudget(1 << 20), HeldJobs(jobs=2, bytes=100, ended=1, ended_bytes=50)
+    memory = JobMemory(budget, held)
+    memory.update()
+    assert budget.used_by[Holder.JOBS] == 3 * JOB_BYTES + 150
+    held.jobs = held.bytes = held.ended = held.ended_bytes = 0
+    memory.update()
+    assert budget.used_bytes == 0
