--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -23,11 +23,13 @@
     """Return a line on a seed; if it failed, also its violations and the command that repeats it."""
     plan, observation = verdict.plan, verdict.observation
     answered = sum(exchange.answered_at is not None for exchange in observation.exchanges)
+    peers = f"; {plan.hostile_form}" if plan.hostile_form else ""
     tables = [name for name in ("crowd", "durable", "membership", "gearman") if getattr(plan, name)]
     line = (
-        f"seed {plan.seed}: {'FAILED' if verdict.violations else 'ok'}; {plan.ending.value}; "
+        f"seed {plan.seed}: {'FAILED' if verdict.violations else 'ok'}; {plan.ending.value}{peers}; "
         f"{len(observation.exchanges)} requests, {answered} answered, {len(observation.arrivals)} attempts"
         f"{''.join(f', {name}' for name in tables)}; lag {observation.max_lag_s:.3f} s"
+        f", {max((p.peak_memory_mb for p in observation.processes), default=0.0):.0f} of {plan.memory_mb} MB"
     )
     if not verdict.violations:
         return line
--- a/benchmarks/soak/audit.py
+++ b/benchmarks/soak/audit.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import re
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
 from itertools import pairwise
 
-from .plan import MEMORY_MB, SOCKETS, Plan, Semantics
+from .plan import SOCKETS, Plan, Semantics
 from .records import Arrival, Exchange, Observation, Process
 
 LATE_ANSWER_S = 0.5  # up to this much after the deadline an answer is worthless, later it is lost (STANDING)
 SOCKET_SLACK_S = 0.05  # added to every time limit on sockets (PROTOCOL)
 START_AFTER_LEAVE_S = 0.1  # an attempt that begins later is a violation (STANDING)
 NEW_SETTINGS_BIND_S = 1.2  # after SIGHUP (DAYS)
+MEMORY_SHARE = 0.8  # of the limit, which the peak must not pass
+MAX_LAG_S = 0.15  # for which a scheduler may be held up (STANDING)
+LAG_LINE = re.compile(r"event loop lag: lag_ms=(\d+)")
 READY_WITHIN_S = 10.0  # STANDING
 KILL_SEEN_WITHIN_S = 0.25  # by a client, whose event loop may lag
 REPLACEMENT_READY_WITHIN_S = 6.0  # DAYS
@@ -149,11 +153,21 @@
         if exchange.left_at is None:
             continue
         for arrival in arrivals.get(exchange.id, ()):
+            if _was_sent_again(observation, exchange, arrival):
+                continue
             late_s = arrival.first_byte_at - exchange.left_at - START_AFTER_LEAVE_S - SOCKET_SLACK_S
             if late_s > 0:
                 yield Violation("sent after its client left", f"{exchange.id} by {late_s:.3f} s")
 
 
+def _was_sent_again(observation: Observation, left: Exchange, arrival: Arrival) -> bool:
+    """Return whether a client has sent the same id once more before the attempt began."""
+    return any(
+        other is not left and other.id == left.id and left.begun_at < other.begun_at <= arrival.first_byte_at
+        for other in observation.exchanges
+    )
+
+
 def _sends_to_draining(observation: Observation) -> Iterator[Violation]:
     for drain in observation.drains:
         for arrival in observation.arrivals:
@@ -164,10 +178,10 @@
 
 def _processes(plan: Plan, observation: Observation) -> Iterator[Violation]:
     for number, process in enumerate(observation.processes):
-        yield from _one_process(plan, process, number)
+        yield from _one_process(plan, process, number, observation.max_lag_s)
 
 
-def _one_process(plan: Plan, process: Process, number: int) -> Iterator[Violation]:
+def _one_process(plan: Plan, process: Process, number: int, machine_lag_s: float) -> Iterator[Violation]:
     name = f"process {number}"
     if process.killed_at is None:
         if process.exit_code != 0:
@@ -183,8 +197,11 @@
         if text in process.log:
             line = next(line for line in process.log.splitlines() if text in line)
             yield Violation("fault in the log", f"{name}: {line}")
-    if process.peak_memory_mb > MEMORY_MB:
+    if process.peak_memory_mb > MEMORY_SHARE * plan.memory_mb:
         yield Violation("memory", f"{name}: {process.peak_memory_mb:.0f} MB")
+    lags_s = [int(lag) / 1000 for lag in LAG_LINE.findall(process.log)]
+    if lags_s and max(lags_s) > MAX_LAG_S + 2 * machine_lag_s:
+        yield Violation("lag", f"{name}: {max(lags_s):.3f} s, the machine's {machine_lag_s:.3f} s")
     if process.peak_descriptors > SOCKETS:
         yield Violation("descriptors", f"{name}: {process.peak_descriptors}")
 
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from random import Random
 
-from .plan import JobClass, Plan
+from .plan import JobClass, Plan, Semantics
 from .records import Exchange, Observation
 
 Address = tuple[str, int]
@@ -15,6 +15,8 @@
 LAST_WAIT_S = 1.5  # after a request's deadline, until its client gives up
 MAX_PAUSE_S = 0.25  # between two requests of a client
 MAX_LEAVE_AFTER_S = 0.4
+MAX_REPEAT_AFTER_S = 0.6
+REFUSALS = (429, 503)
 SLOW_PIECES = 4
 SLOW_PAUSE_S = 0.1
 BODY = b"sheet"
@@ -50,6 +52,7 @@
         self._name = f"c{number}"
         self._ids = itertools.count()
         self._connection: Connection | None = None
+        self._last: Exchange | None = None  # the latest request, if it must not run twice and was not refused
         self.may_connect = True
 
     async def run(self) -> None:
@@ -58,6 +61,8 @@
             await asyncio.sleep(self._random.uniform(0.0, MAX_PAUSE_S))
             if self._stop.is_set() or not await self._exchange(self._draw_class()):
                 break
+            if self._last is not None and self._random.random() < self._plan.repeat_share:
+                await self._repeat(self._last)
         if self._connection is not None:
             self._connection.writer.close()
 
@@ -78,6 +83,7 @@
                 self._now(),
             )
             self._observation.exchanges.append(exchange)
+            self._last = exchange if job_class.semantics is Semantics.SINGLE_SHOT else None
             connection.requests += 1
             try:
                 await self._send_and_read(connection, exchange)
@@ -93,6 +99,25 @@
             return True
         return True
 
+    async def _repeat(self, earlier: Exchange) -> None:
+        """Send a request once more, on a new connection."""
+        self._last = None
+        self._drop()
+        await asyncio.sleep(self._random.choice((0.0, self._random.uniform(0.0, MAX_REPEAT_AFTER_S))))
+        connection = await self._connected()
+        if connection is None or self._stop.is_set():
+            return
+        exchange = Exchange(earlier.id, earlier.job_class, earlier.deadline_s, True, self._now())
+        self._observation.exchanges.append(exchange)
+        connection.requests += 1
+        try:
+            await self._send_and_read(connection, exchange)
+        except TimeoutError:  # the connection is open, so the request is lost
+            self._drop()
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            exchange.closed_at = self._now()
+            self._drop()
+
     async def _connected(self) -> Connection | None:
         connection = self._connection
         if connection is not None and not connection.reader.at_eof():
@@ -121,6 +146,8 @@
             status, body, closes = await _read_answer(connection.reader)
         exchange.answered_at, exchange.status, exchange.body = self._now(), status, body
         exchange.answers += 1
+        if status in REFUSALS:
+            self._last = None
         if closes:
             exchange.answers += bool(await _read_rest(connection.reader))
             self._drop()
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from random import Random
 from typing import Any
 
+from ..hostile.forms import FORMS, Front
+
 LOAD_S = 5.0  # length of the load before the ending begins
 FIRST_FAULT_S = 0.5
 DRAIN_GRACE_S = 1.0
 SOCKETS = 256
-MEMORY_MB = 192
+MEMORY_MB = (96, 192)
+HOSTILE_CONNECTIONS = 100
+HOSTILE_S = 2.0
 CROWD_CONNECTIONS = 300
 
 
@@ -121,6 +125,9 @@
     max_store_bytes: int
     membership: bool
     gearman: bool
+    memory_mb: int
+    hostile_form: str  # of misbehaving peers in `benchmarks.hostile.forms`; empty: none
+    repeat_share: float  # of requests that must not run twice, whose clients send them once more
 
     @property
     def longest_deadline_s(self) -> float:
@@ -168,7 +175,7 @@
     ending = random.choice(tuple(Ending))
     # Two processes can't open one store, so a durable scheduler can't be replaced by a second process.
     durable = random.random() < 0.5 and ending not in (Ending.REPLACED, Ending.SUCCESSOR_DIES)
-    return Plan(
+    plan = Plan(
         seed=seed,
         classes=_classes(random),
         workers=workers,
@@ -186,6 +193,22 @@
         max_store_bytes=random.choice((1 << 20, 1 << 30)) if durable else 0,
         membership=random.random() < 0.3,
         gearman=random.random() < 0.4,
+        memory_mb=MEMORY_MB[0],
+        hostile_form="",
+        repeat_share=0.0,
+    )
+    return _with_hostile_peers(plan, random)
+
+
+def _with_hostile_peers(plan: Plan, random: Random) -> Plan:
+    """Draw the misbehaving peers, the repeated ids and the memory of a plan."""
+    forms = [name for name, form in FORMS.items() if form.front is not Front.GEARMAN or plan.gearman]
+    is_loosened = any(item.reload is Reload.LOOSENED for item in plan.reloads)
+    return replace(
+        plan,
+        memory_mb=random.choice(MEMORY_MB),
+        hostile_form=random.choice(forms) if random.random() < 0.6 else "",
+        repeat_share=0.0 if is_loosened else random.choice((0.0, 0.2, 0.5)),
     )
 
 
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import socket
+import sys
 import tempfile
 import time
 from collections.abc import Coroutine
@@ -14,14 +15,17 @@
 from pathlib import Path
 from typing import Any
 
+from ..daemon_process import ROOT
+from ..hostile.forms import FORMS
 from .audit import Violation, audit
 from .clients import NEW_CONNECTIONS_AFTER_TERM_S, Address, Client, bad_client, call, submit_deferred_job
 from .discovery import Discovery
 from .gearman import function_tables, stand_ins
 from .plan import (
     CROWD_CONNECTIONS,
+    HOSTILE_CONNECTIONS,
+    HOSTILE_S,
     LOAD_S,
-    MEMORY_MB,
     SOCKETS,
     DiscoveryFaultAt,
     Ending,
@@ -133,7 +137,7 @@
             "name": "n1", "listen": f"{HOST}:{self._http[1]}", "admin": f"{HOST}:0",
             "discovery": self._discovery.address, "seed": f"{self._plan.seed:x}",
             "settings": self._plan.platform_settings(self._attempts, self._loosened),
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+            "limits": {"cores": 1.0, "memory_mb": self._plan.memory_mb, "sockets": SOCKETS},
         }  # fmt: skip
 
     def _operator(self, name: str) -> str:
@@ -160,6 +164,8 @@
             self._spawn(bad_client(self._http, self._observation, random.Random(plan.seed + number)))
         if plan.crowd:
             tasks.append(self._spawn(self._crowd()))
+        if plan.hostile_form:
+            tasks.append(self._spawn(self._play_hostile_peers(plan.hostile_form)))
         if plan.durable:
             tasks.append(self._spawn(self._submit_deferred_jobs()))
         return tasks
@@ -220,6 +226,21 @@
                 connection[1].close()
         self._observation.crowded.append((begin, loop.time() + CROWD_TAIL_S))
 
+    async def _play_hostile_peers(self, form: str) -> None:
+        """Run misbehaving peers in a process of their own for a while."""
+        await asyncio.sleep(LOAD_S / 3)
+        host, port = await self._programs[0].address(FORMS[form].front.value)
+        peers = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "benchmarks.hostile.peers", f"{host}:{port}", form,
+            "--connections", str(HOSTILE_CONNECTIONS), "--seconds", str(HOSTILE_S),
+            cwd=ROOT, stdout=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        try:
+            await peers.wait()
+        finally:
+            if peers.returncode is None:
+                peers.kill()
+
     async def _submit_deferred_jobs(self) -> None:
         """Submit deferred jobs, one after another."""
         loop = asyncio.get_running_loop()
--- a/tests/test_job_queue.py
+++ b/tests/test_job_queue.py
@@ -485,7 +485,7 @@
 
 
 def test_deferred_jobs_draw_from_the_memory_budget() -> None:
-    # Guards against jobs that wait within limits of their own and beyond the memory of the process (issue 56).
+    # Guards against jobs that wait within limits of their own, beyond the process's memory (issue 56).
     settings = with_bounded_memory(WaitingSettings(), 12 << 20)
     assert settings.max_held_bytes == 4 << 20 and settings.max_ended_bytes == 3 << 20
     assert settings.max_jobs == settings.max_ended == (12 << 20) // 8 // JOB_BYTES
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -133,7 +133,17 @@
 
 
 def exceed_memory(observation: Observation) -> None:
-    observation.processes[0].peak_memory_mb = 193.0
+    observation.processes[0].peak_memory_mb = 0.81 * PLAN.memory_mb
+
+
+def block_event_loop(observation: Observation) -> None:
+    observation.processes[0].log += "\nevent loop lag: lag_ms=160"
+
+
+def run_repeated_id(observation: Observation) -> None:
+    exchange, arrival = exchange_and_arrival(observation, Semantics.SINGLE_SHOT)
+    observation.exchanges.append(replace(exchange, begun_at=exchange.begun_at + 1.0))
+    observation.arrivals.append(replace(arrival, first_byte_at=102.9, received_at=102.9, ended_at=102.95))
 
 
 def leak_descriptors(observation: Observation) -> None:
@@ -166,6 +176,8 @@
     (become_ready_late, "not ready in time"),
     (log_fault, "fault in the log"),
     (exceed_memory, "memory"),
+    (block_event_loop, "lag"),
+    (run_repeated_id, "ran twice"),
     (leak_descriptors, "descriptors"),
     (lose_deferred_job, "forgotten job"),
     (keep_bad_client_connected, "bad client kept"),
