--- a/oxbowyard/clients/errors.py
+++ b/oxbowyard/clients/errors.py
@@ -48,6 +48,12 @@
     status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
+class RequestTooLateError(RequestError):
+    """The request waited until its time was over. It is safe to retry."""
+
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class RequestMemoryFullError(RequestError):
     """The memory for requests is exhausted. The request is safe to retry."""
 
--- a/oxbowyard/clients/request_handler.py
+++ b/oxbowyard/clients/request_handler.py
@@ -14,7 +14,13 @@
 from ..core.scheduler import Scheduler
 from ..listeners.disconnects import peer_disconnected
 from .connection import Connection
-from .errors import BadRequestError, BodyTimeoutError, BodyTooLargeError, RequestMemoryFullError
+from .errors import (
+    BadRequestError,
+    BodyTimeoutError,
+    BodyTooLargeError,
+    RequestMemoryFullError,
+    RequestTooLateError,
+)
 from .limits import MAX_BODY_BYTES, REQUEST_TIMEOUT_S
 from .memory_costs import BODY_COPIES, OPEN_REQUEST_BYTES
 from .request_input import abort_body
@@ -22,6 +28,7 @@
 from .responses import answer_response
 
 BYTES_PER_KIB = 1024
+MIN_TIME_LEFT_S = 0.02  # of a request that waited to be parsed
 
 
 async def serve_request(
@@ -52,7 +59,11 @@
         request = parse_request(
             http_request.method, http_request.raw_path, http_request.headers, payload, classes
         )
-        request = replace(request, client_connected=lambda: _is_client_connected(http_request))
+        request = replace(
+            request,
+            timeout_s=_time_left_s(http_request, request.timeout_s),
+            client_connected=lambda: _is_client_connected(http_request),
+        )
         answer = await scheduler.serve(request)
     return answer_response(answer)
 
@@ -135,6 +146,21 @@
     return size_bytes
 
 
+def _time_left_s(request: BaseRequest, timeout_s: float) -> float:
+    """Return how long the client still waits: its time began when its last byte was received, which may have
+    waited to be parsed.
+
+    Raises:
+        RequestTooLateError: Too little is left for an answer.
+    """
+    if not isinstance(request.protocol, Connection):
+        return timeout_s
+    left_s = timeout_s - request.protocol.waited_s
+    if left_s <= min(MIN_TIME_LEFT_S, timeout_s / 2):
+        raise RequestTooLateError("too little time is left")
+    return left_s
+
+
 def _memory_full() -> RequestMemoryFullError:
     return RequestMemoryFullError("too much is held already")
 
--- a/oxbowyard/clients/request_input.py
+++ b/oxbowyard/clients/request_input.py
@@ -118,7 +118,7 @@
         if self.phase is Phase.DRAINING or self._discards_input:
             return
         if data:
-            self._input.append(data)
+            self._input.append(data, self._loop.time())
             if self.phase in (Phase.SILENT, Phase.KEEP_ALIVE):
                 self._on_first_byte()
             elif self.phase is Phase.RESPONDING:
@@ -154,6 +154,11 @@
             self._input.clear()
             self._update_cost()
 
+    @property
+    def waited_s(self) -> float:
+        """How long ago the last byte was received that has been parsed, in seconds."""
+        return self._loop.time() - self._input.taken_received_at
+
     # ---- Memory ----
 
     @property
--- a/oxbowyard/gearman/packet_input.py
+++ b/oxbowyard/gearman/packet_input.py
@@ -78,7 +78,7 @@
         """Receive data from the peer, to be handled in slices."""
         if self._has_ended:
             return
-        self._input.append(data)
+        self._input.append(data, asyncio.get_running_loop().time())
         self._update_cost()
         self._input_queue.submit(self)
         self._update_reading()
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -162,3 +162,26 @@
     assert all("answers 5.0" in text for _, text in lines)
     figures = watch.figures()
     assert figures["resident_bytes"] == 95 * BYTES_PER_MB and figures["held_bytes"] == 5 * BYTES_PER_MB
+
+
+@pytest.mark.parametrize(("waited_s", "status"), [(0.0, b"200"), (3.0, b"200"), (9.5, b"503")])
+def test_time_that_a_request_waits_to_be_parsed_is_the_clients(
+    tmp_path: Path, waited_s: float, status: bytes
+) -> None:
+    # Guards against a deadline for the worker beyond what the client has left (issue 56).
+    async def scenario(harness: SchedulerHarness) -> None:
+        queue = harness.subsystems.input_queue
+        submitted: list[Connection] = []
+        submit = queue.submit
+        queue.submit = submitted.append  # type: ignore[method-assign, assignment]
+        client = await _send(harness, request_bytes("preview", deadline_s=9.0))
+        await asyncio.sleep(waited_s)
+        queue.submit = submit  # type: ignore[method-assign]
+        queue.submit(submitted[0])
+        await run_loop_iterations()
+        assert (await harness.read_available(client))[9:12] == status
+        if status == b"200":
+            sent = bytes(harness.worker.received[0])
+            assert int(sent.partition(b"Req-Deadline: ")[2].partition(b"m")[0]) <= 1000 * (9.0 - waited_s)
+
+    run_scenario(tmp_path, scenario)
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -87,10 +87,10 @@
 
 def test_input_buffer_returns_what_was_appended() -> None:
     buffer = InputBuffer()
-    for piece in (b"abcdef", b"gh", b"i"):
-        buffer.append(piece)
+    for number, piece in enumerate((b"abcdef", b"gh", b"i")):
+        buffer.append(piece, float(number))
     taken = []
     while buffer:
-        taken.append(buffer.take(4))
-    assert taken == [b"abcd", b"ef", b"gh", b"i"]
+        taken.append((buffer.take(4), buffer.taken_received_at))
+    assert taken == [(b"abcd", 0.0), (b"ef", 0.0), (b"gh", 1.0), (b"i", 2.0)]
     assert buffer.size_bytes == 0 and buffer.take(4) == b""
