--- a/oxbowyard/clients/connection.py
+++ b/oxbowyard/clients/connection.py
@@ -10,7 +10,7 @@
 from aiohttp.web_response import StreamResponse
 
 from ..core.memory_budget import MemoryBudget
-from ..listeners.disconnects import is_readable, peer_disconnected
+from ..listeners.disconnects import half_close, is_readable, peer_disconnected
 from ..listeners.fair_queue import FairQueue
 from .limits import (
     DRAIN_TIMEOUT_S,
@@ -233,6 +233,5 @@
         """Half-close after an error, because a full close would reset a client that is still sending."""
         assert self.transport is not None
         self._enter_phase(Phase.DRAINING, self._loop.time() + DRAIN_TIMEOUT_S)
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
+        half_close(self.transport)
         self._stop_parsing()
--- a/oxbowyard/gearman/connection.py
+++ b/oxbowyard/gearman/connection.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from ..core.memory_budget import MemoryBudget
-from ..listeners.disconnects import is_readable, peer_disconnected, unsent_bytes
+from ..listeners.disconnects import half_close, is_readable, peer_disconnected, unsent_bytes
 from ..listeners.fair_queue import FairQueue
 from .codec import encode_error
 from .config import GearmanConfig
@@ -41,6 +41,12 @@
     def release(self, connection: Connection) -> None:
         """Remove a connection that has ended. May be called twice."""
 
+    def on_draining(self, connection: Connection) -> None:
+        """Note that an ended connection stays open for a while, so that the peer reads its error."""
+
+    def on_closed(self, connection: Connection) -> None:
+        """Note that the socket of a connection is closed."""
+
 
 class Connection(PacketInput):
     """The connection of a client, worker or operator. One connection may act in all three roles.
@@ -89,6 +95,7 @@
         self._stop_timer()
         self._release_input()
         self._release()
+        self._owner.on_closed(self)
 
     def _check_incomplete(self, additional_bytes: int) -> None:
         """Limit the time and the memory of an incomplete packet."""
@@ -140,11 +147,12 @@
         self.send(encode_error(code, text))
         self._has_ended = True
         self._update_reading()
-        if self._transport is not None and self._transport.can_write_eof():
-            self._transport.write_eof()
+        if self._transport is not None:
+            half_close(self._transport)
         self._stop_timer()
         self._timer = asyncio.get_running_loop().call_later(DRAIN_TIMEOUT_S, self._on_timeout)
         self._release()
+        self._owner.on_draining(self)
 
     def finish(self) -> None:
         """Close once the peer has acknowledged all data, or has closed its side.
@@ -157,8 +165,8 @@
             self._transport.close()
             return
         self._has_ended = True
-        self._transport.write_eof()
-        self._transport.resume_reading()
+        half_close(self._transport)
+        self._update_reading()
 
     def close(self) -> None:
         """Close after the buffered data has been written."""
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -46,6 +46,7 @@
         self._transport = transport
         self._commands = TextCommands(config, jobs, transport.workers)
         self._connections: dict[Connection, None] = {}  # oldest first
+        self._draining: dict[Connection, None] = {}  # ended and not closed yet; oldest first
         self._acceptor: Acceptor | None = None
         self._all_ended: asyncio.Future[None] | None = None  # during `close`, done when no connection is left
         self.counts: Counter[str] = Counter()  # errors that are counted instead of logged one by one
@@ -76,7 +77,7 @@
     @property
     def available_connections(self) -> int:
         """The number of further connections to accept; at least 1, because excess ones are sent an error."""
-        return max(self.config.max_connections - len(self._connections), 1)
+        return max(self.config.max_connections - len(self._connections) - len(self._draining), 1)
 
     def make_connection(self) -> asyncio.Protocol:
         """Create the protocol of a new connection."""
@@ -98,11 +99,27 @@
 
     def admit(self, connection: Connection) -> bool:
         """Add a new connection, if necessary in place of an idle one. Return False if there are too many."""
+        self._close_draining(self.config.max_connections - len(self._connections) - 1)
         if len(self._connections) >= self.config.max_connections and not self.evict_idle_connection():
             return False
         self._connections[connection] = None
         return True
 
+    def _close_draining(self, max_draining: int) -> None:
+        """Close the oldest draining connections, so that all descriptors together stay within the limit."""
+        while len(self._draining) > max(max_draining, 0):
+            oldest = next(iter(self._draining))
+            del self._draining[oldest]
+            oldest.close()
+
+    def on_draining(self, connection: Connection) -> None:
+        """Count a connection that has ended and is not closed yet, since it has a descriptor."""
+        self._draining[connection] = None
+
+    def on_closed(self, connection: Connection) -> None:
+        """Remove a connection whose descriptor is free again."""
+        self._draining.pop(connection, None)
+
     def may_buffer(self, additional_bytes: int) -> bool:
         """Return whether all connections together may buffer `additional_bytes` of incomplete packets."""
         if additional_bytes <= 0:
--- a/oxbowyard/listeners/disconnects.py
+++ b/oxbowyard/listeners/disconnects.py
@@ -35,6 +35,16 @@
     return transport.get_write_buffer_size() + _queued_bytes(transport, termios.TIOCOUTQ)
 
 
+def half_close(transport: asyncio.WriteTransport) -> None:
+    """Close our sending side once everything is written; abort a connection that the peer has reset."""
+    if not transport.can_write_eof():
+        return
+    try:
+        transport.write_eof()
+    except OSError:  # the event loop has not seen the reset yet
+        transport.abort()
+
+
 def _queued_bytes(transport: asyncio.BaseTransport | None, request: int) -> int:
     socket = transport.get_extra_info("socket") if transport is not None else None
     if socket is None:
--- a/tests/test_gearman_stream.py
+++ b/tests/test_gearman_stream.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 
 import pytest
+from scheduler_harness import GatedConnectLoop, SchedulerHarness
 from test_gearman_chaos import packet
 from test_job_queue import FREE, ONCE
 
@@ -16,6 +18,7 @@
 from oxbowyard.gearman.packet_input import CONNECTION_BYTES, SLICE_PACKETS
 from oxbowyard.gearman.packet_types import PacketType
 from oxbowyard.gearman.submission import parse_submission
+from oxbowyard.listeners.disconnects import half_close
 from oxbowyard.listeners.fair_queue import FairQueue
 
 CONFIG = parse({"listen": "127.0.0.1:0", "functions": {"f": {"class": "free"}}}, (FREE, ONCE))
@@ -41,6 +44,12 @@
     def release(self, connection: Connection) -> None:
         pass
 
+    def on_draining(self, connection: Connection) -> None:
+        pass
+
+    def on_closed(self, connection: Connection) -> None:
+        pass
+
 
 class Handler:
     """Records the items; may pause the input at the first one, as a job that is being stored does."""
@@ -183,3 +192,64 @@
         connection.connection_lost(None)
 
     asyncio.run(scene())
+
+
+class ResetTransport(Transport):
+    """A transport whose peer has reset the connection, which the event loop has not seen yet."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_aborted = False
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        raise OSError(107, "Transport endpoint is not connected")
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+def test_half_close_of_a_reset_connection_aborts_it() -> None:
+    # Guards against an error in a callback that leaves the connection open for good (issue 56, soak seed 25).
+    transport = ResetTransport()
+    half_close(transport)
+    assert transport.is_aborted
+
+
+def test_connections_that_drain_count_against_the_limit(tmp_path: Path) -> None:
+    # Guards against more descriptors than configured, while peers are ended and come again (issue 56, soak).
+    async def scene() -> None:
+        harness = SchedulerHarness(tmp_path)
+        front = harness.subsystems.gearman
+        assert front is not None
+        transports: list[ClosingTransport] = []
+        for _ in range(3 * front.config.max_connections):
+            connection = front.make_connection()
+            transports.append(ClosingTransport(connection))
+            connection.connection_made(transports[-1])
+            connection.data_received(b"\0BAD" + b"\0" * 8)
+            await asyncio.sleep(0)
+            assert len(front._connections) + len(front._draining) <= front.config.max_connections
+        still_open = [transport for transport in transports if not transport.is_closing()]
+        assert len(still_open) <= front.config.max_connections
+
+    with asyncio.Runner(loop_factory=GatedConnectLoop) as runner:
+        runner.run(scene())
+
+
+class ClosingTransport(Transport):
+    """A transport that tells its protocol of its close."""
+
+    def __init__(self, protocol: asyncio.BaseProtocol) -> None:
+        super().__init__()
+        self._protocol, self._is_closed = protocol, False
+
+    def is_closing(self) -> bool:
+        return self._is_closed
+
+    def close(self) -> None:
+        if not self._is_closed:
+            self._is_closed = True
+            self._protocol.connection_lost(None)
