Durable jobs: a child submitted after its parent's end outlives the deletion of the parent's answer

Once the parent's answer was deleted, a restart took the parent for one that never existed and orphaned the child.

Change: accepting a durable job with parents that have ended as asked emits DependencySatisfied, so that the parents that are left are recorded behind its acceptance. A new test plays this order always.

--- a/oxbowyard/waiting/acceptance.py
+++ b/oxbowyard/waiting/acceptance.py
@@ -8,6 +8,7 @@
 from .dependencies import topological_order, unsatisfied_reason
 from .held_jobs import check_submissions, queue_full_error
 from .job import (
+    DependencySatisfied,
     Job,
     JobOutcome,
     JobRejectedError,
@@ -139,4 +140,6 @@
         elif failure := unsatisfied_reason(known, dependency.condition):
             return failure
     job.dependencies = tuple(pending)
+    if job.durable and len(pending) < len(submission.dependencies):
+        state.actions.append(DependencySatisfied(job))
     return ""
--- a/tests/test_recovered_dependencies.py
+++ b/tests/test_recovered_dependencies.py
@@ -246,6 +246,10 @@
     play(scene)
 
 
+async def delete_answers(run: DurableHarness) -> None:
+    await run.durable_store._writer.read(lambda database: database.prune(math.inf, 0, 100))
+
+
 @pytest.mark.parametrize("restarts", [1, 3])
 def test_child_outlives_the_deletion_of_its_parents_answer(restarts: int, tmp_path: Path) -> None:
     # Guards against a child that is orphaned after a restart though its parent was served.
@@ -268,7 +272,27 @@
         assert await ends(last, "timed", "child") == [JobOutcome.SERVED, JobOutcome.SERVED]
         await last.durable_store.close()
 
-    async def delete_answers(run: DurableHarness) -> None:
-        await run.durable_store._writer.read(lambda database: database.prune(math.inf, 0, 100))
+    play(scene)
+
+
+def test_child_submitted_after_the_end_of_its_parent_outlives_the_deletion_of_the_answer(
+    tmp_path: Path,
+) -> None:
+    # Guards against a child that is orphaned after a restart though its parent was served before it came.
+    async def scene() -> None:
+        path = tmp_path / "jobs.db"
+        run = run_of(path)
+        await run.submit("parent", "free")
+        await run.submit("timed", "free", delay_s=50.0, max_wait_s=600.0)
+        assert await ends(run, "parent") == [JobOutcome.SERVED]
+        await submit_after(run, "child", "parent", "timed")
+        await run.submit(
+            "delayed", "once", dependencies=(Dependency("parent"),), delay_s=50.0, max_wait_s=600.0
+        )
+        await delete_answers(run)
+        last = run_of(path, 1.0)
+        await last.recovery.run()
+        assert last.state("child") is JobState.BLOCKED and last.state("delayed") is JobState.SCHEDULED
+        await last.durable_store.close()
 
     play(scene)
