Groups of test processes: no admin port twice, and a failing test shows how its processes ended

What fits: free_port gives a port that it gave before (the sockets are closed at once), or that another test worker was given for the same address 127.79.0.1; the second process then ends at its start with "Address already in use", and the test waits for it in vain.

Change: the admin APIs of each test process listen on a loopback address of its own, and free_port returns no port twice. When an assertion fails in a group's block, it prints each process's state and the end of its log.

--- a/benchmarks/faults/processes.py
+++ b/benchmarks/faults/processes.py
@@ -21,11 +21,21 @@
 ROOT = Path(__file__).parent.parent.parent
 TIMEOUT_S = 30.0  # generous: a healthy group needs far less
 POLL_INTERVAL_S = 0.05
-ADMIN_HOST = "127.79.0.1"  # for the admin APIs alone: no outgoing connection takes a port there
+REPORTED_LOG_LINES = 10  # of each process, when a group's test fails
+
+
+def _own_loopback_host() -> str:
+    """Return a loopback address that no other running test process uses."""
+    pid = os.getpid()
+    return f"127.{128 + (pid >> 16) % 64}.{pid >> 8 & 255}.{pid & 255}"
+
+
+ADMIN_HOST = _own_loopback_host()  # for the admin APIs alone: no outgoing connection takes a port there
+_returned_ports: set[tuple[str, int]] = set()
 
 
 def free_port(host: str) -> int:
-    """Return a port that is free for both UDP and TCP at this moment."""
+    """Return a port that is free for both UDP and TCP at this moment, and was not returned before."""
     while True:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, socket.socket() as tcp:
             udp.bind((host, 0))
@@ -34,7 +44,9 @@
             except OSError:
                 continue
             port: int = udp.getsockname()[1]
-            return port
+            if (host, port) not in _returned_ports:
+                _returned_ports.add((host, port))
+                return port
 
 
 def wait_until(condition: Callable[[], Any], what: str, timeout_s: float = TIMEOUT_S) -> Any:
@@ -73,6 +85,15 @@
         """Return the log of all its runs so far."""
         return (self.folder / "log").read_text()
 
+    def report(self) -> str:
+        """Return whether the process runs, and the end of its log."""
+        code = self.process.poll() if self.process is not None else None
+        state = (
+            "not started" if self.process is None else "running" if code is None else f"exited with {code}"
+        )
+        lines = self.log().splitlines()[-REPORTED_LOG_LINES:] if self.process is not None else []
+        return "\n".join([f"{self.name}: {state}", *(f"    {line}" for line in lines)])
+
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
         assert self.process is not None
@@ -204,5 +225,8 @@
     group = Fleet(folder, config, RelayThread(seed), membership_table)
     try:
         yield group
+    except AssertionError:
+        print(*(member.report() for member in group), sep="\n")
+        raise
     finally:
         group.close()
