--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -13,6 +13,7 @@
 from .errors import ErrorCode
 from .jobs import Jobs
 from .peer import Peer
+from .stale_updates import StaleUpdates
 from .text_commands import TextCommands
 from .worker_transport import WorkerTransport
 
@@ -50,6 +51,7 @@
         self._acceptor: Acceptor | None = None
         self._all_ended: asyncio.Future[None] | None = None  # during `close`, done when no connection is left
         self.counts: Counter[str] = Counter()  # errors that are counted instead of logged one by one
+        self._stale_updates = StaleUpdates(self.counts)
 
     def listen(self) -> None:
         """Start accepting connections."""
@@ -84,7 +86,7 @@
         return Connection(self.config, self, self._make_peer, self._memory, self._input_queue)
 
     def _make_peer(self, connection: Connection) -> Peer:
-        return Peer(connection, self._jobs, self._transport, self._commands)
+        return Peer(connection, self._jobs, self._transport, self._commands, self._stale_updates)
 
     def evict_idle_connection(self) -> bool:
         """Close the oldest connection that has not sent a complete packet. Return False if there is none."""
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from ..core.memory_budget import MemoryBudget
+from ..core.process_token import new_process_token
 from ..core.request import Answer, AnswerKind, Request
 from ..core.scheduler import Scheduler
 from ..decision.settings import RetrySafety
@@ -55,11 +56,10 @@
         self.limits = JobLimits(config, self._table)
         self._deferred: DeferredJobs | None = None
         self._numbers = itertools.count(1)
-        self._handle_prefix = f"H:{name}:"
+        self._handle_prefix = f"H:{name}:{new_process_token()}."
         if queue is not None:
             self._deferred = DeferredJobs(queue, self._table, config.functions)
-            queue.ids.reserve(self._handle_prefix)
-            self._handle_prefix += queue.ids.run_id
+            queue.ids.reserve(f"H:{name}:")
 
     def submit(self, packet_type: PacketType, arguments: list[bytes], client: JobClient) -> None:
         """Accept a job or join an existing one with the same unique id, and send its handle to the client.
--- a/oxbowyard/gearman/peer.py
+++ b/oxbowyard/gearman/peer.py
@@ -10,6 +10,7 @@
 from .errors import ErrorCode, PacketRejectedError
 from .jobs import Jobs
 from .packet_types import ARGUMENT_COUNTS, PacketType
+from .stale_updates import StaleUpdates
 from .submission import SUBMISSION_KINDS
 from .text_commands import TextCommands
 from .worker import Worker
@@ -43,13 +44,19 @@
     """The peer of one connection, which becomes a worker with the first packet that only workers send."""
 
     def __init__(
-        self, connection: Connection, jobs: Jobs, transport: WorkerTransport, commands: TextCommands
+        self,
+        connection: Connection,
+        jobs: Jobs,
+        transport: WorkerTransport,
+        commands: TextCommands,
+        stale_updates: StaleUpdates,
     ) -> None:
         self._connection = connection
         self._jobs = jobs
         self._transport = transport
         self._workers = transport.workers
         self._commands = commands
+        self._stale_updates = stale_updates
         self._worker: Worker | None = None
 
     def handle(self, item: Packet | TextCommand) -> None:
@@ -137,8 +144,7 @@
         outcome = LATE_OUTCOMES.get(packet_type)
         if outcome is not None and self._jobs.deliver_late_result(arguments[0], outcome, body):
             return
-        address = self._connection.address
-        log.info("update of a job that the worker does not have: type=%s peer=%s", packet_type.name, address)
+        self._stale_updates.record(packet_type, arguments[0], self._connection.address)
 
     def _set_option(self, option: bytes) -> None:
         if option != EXCEPTIONS_OPTION:
--- a/oxbowyard/waiting/job_ids.py
+++ b/oxbowyard/waiting/job_ids.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ..core.process_token import new_process_token
+
 
 class JobIds:
     """Generates ids that are unique, also among the jobs of earlier runs of the program."""
@@ -9,7 +11,7 @@
     def __init__(self, name: str, started_unix_ms: int, run_id: str) -> None:
         """`run_id` distinguishes the runs of the program on one store; it is empty without a store."""
         self.run_id = run_id
-        self._prefix = f"{name}.{started_unix_ms:x}."
+        self._prefix = f"{name}.{started_unix_ms:x}.{new_process_token()}."
         self._last = 0
         self._reserved_prefixes = [self._prefix]
 
