--- a/oxbowyard/durable/durable_store.py
+++ b/oxbowyard/durable/durable_store.py
@@ -6,14 +6,18 @@
 from collections.abc import Callable, Mapping
 from pathlib import Path
 
+from ..store.committer import PruneLimits
 from ..store.database import Database
 from ..store.record import StoreError
-from ..store.writer import LOST_STATES, PruneLimits, StoreHealth, Writer
+from ..store.space import StoreSpace
+from ..store.writer import LOST_STATES, StoreHealth, Writer
 from ..waiting.job_queue import JobQueue
 from .journal import DurableJournal
 from .recovery import Recovery
 from .settings import DurableSettings
 
+MIN_KEPT_S = 60.0  # for a client to retrieve a result, before space for new jobs is made of it
+
 
 class StoreOpenError(Exception):
     """The store could not be opened. The message is one line."""
@@ -35,9 +39,10 @@
         except StoreError as error:
             raise StoreOpenError(f"store: {error}") from None
         self._queue: JobQueue | None = None
-        self._writer = Writer(database, self._on_health, self._prune_limits)
+        self.space = StoreSpace(settings.max_store_bytes)
+        self._writer = Writer(database, self._on_health, self._prune_limits, self.space)
         run_id = f"{database.epoch}."
-        self.journal = DurableJournal(self._writer, run_id, settings.lease_s, wall_clock)
+        self.journal = DurableJournal(self._writer, self.space, run_id, settings.lease_s, wall_clock)
 
     def _prune_limits(self) -> PruneLimits:
         settings = self._settings
@@ -45,6 +50,7 @@
             ended_before=self._wall_clock() - settings.keep_answers_s,
             max_results=settings.max_answers,
             max_deletions=settings.forget_at_once,
+            evictable_before=self._wall_clock() - MIN_KEPT_S,
         )
 
     def _on_health(self, health: StoreHealth) -> None:
@@ -61,7 +67,8 @@
         """Summarize the store's health and its commits so far in one line, for the log."""
         writer = self._writer
         changes, commits = writer.committed_changes, writer.commits
-        return f"store {writer.health.value}, {changes} changes in {commits} commits"
+        used = f"{self.space.used_bytes} of {self.space.max_bytes} bytes in use"
+        return f"store {writer.health.value}, {changes} changes in {commits} commits, {used}"
 
     async def close(self) -> None:
         """Commit the queued changes, then close and unlock the store."""
--- a/oxbowyard/durable/journal.py
+++ b/oxbowyard/durable/journal.py
@@ -20,6 +20,7 @@
     StoredState,
     StoreError,
 )
+from ..store.space import StoreSpace, stored_bytes
 from ..store.writer import LOST_STATES, StoreHealth, Writer
 from ..waiting.job import (
     Job,
@@ -45,6 +46,7 @@
     StoreHealth.FENCED: "another scheduler has this store",
     StoreHealth.CLOSED: "the store is closed",
 }
+FULL_REASON = "the store is full"
 # A granted job that returns to one of these states, and of which no run is known, never ran.
 NEVER_RAN_STATES = (JobState.SCHEDULED, JobState.READY, JobState.AWAITING_IDLE)
 
@@ -57,6 +59,7 @@
     def __init__(
         self,
         writer: Writer,
+        space: StoreSpace,
         run_id: str,
         lease_s: float | None = None,
         wall_clock: Callable[[], float] = time.time,
@@ -66,6 +69,7 @@
         if lease_s is not None:
             self.leases = LeaseTable(lease_s * 1000)
         self._writer = writer
+        self._space = space
         self._wall_clock = wall_clock
         self.run_id = run_id
         self.machine_clock = MachineClock(wall_clock)
@@ -74,9 +78,13 @@
         # Numbers of the jobs that are recorded as submitted without a grant.
         self._submitted: set[int] = set()
 
-    def rejection_reason(self) -> str:
-        """Return why no durable jobs are accepted; empty if they are."""
-        return REJECTION_REASONS.get(self._writer.health, "")
+    def rejection_reason(self, submissions: Sequence[JobSubmission] = ()) -> str:
+        """Return why no durable jobs, or not these, are accepted; empty if they are."""
+        reason = REJECTION_REASONS.get(self._writer.health, "")
+        if reason:
+            return reason
+        size_bytes = sum(stored_bytes(submission.payload_bytes) for submission in submissions)
+        return "" if self._space.has_space(size_bytes) else FULL_REASON
 
     def failure_reason(self) -> str:
         """Return why the journal has failed for good; empty if it has not."""
@@ -195,12 +203,12 @@
 
     async def find_record(self, id_: str) -> JobRecord | None:
         """Return a stored job by its id; None if it is unknown. Raises JobRejectedError."""
-        stored = await self._read(lambda database: database.find(id_))
+        stored = await self._read(lambda database: database.find(id_), may_be_stale=True)
         return job_record(stored, False) if stored else None
 
-    async def _read(self, query: Callable[[Database], T]) -> T:
+    async def _read(self, query: Callable[[Database], T], may_be_stale: bool = False) -> T:
         try:
-            return await self._writer.read(query)
+            return await self._writer.read(query, may_be_stale)
         except StoreError as error:
             code = RejectionCode.STORE_UNAVAILABLE
             raise JobRejectedError(code, str(error), QUERY_RETRY_AFTER_S) from None
--- a/oxbowyard/store/database.py
+++ b/oxbowyard/store/database.py
@@ -177,20 +177,7 @@
             case RequestChanged():
                 self._db.execute(schema.UPDATE_REQUEST, (change.request, change.number))
             case JobEnded():
-                self._end_job(change)
-
-    def _end_job(self, change: JobEnded) -> None:
-        values = (
-            change.outcome,
-            change.run_state,
-            change.reason,
-            change.result,
-            change.retry_after_s,
-            change.ended_at,
-            change.resolved_by or None,
-            change.number,
-        )
-        self._db.execute(schema.END_JOB, values)
+                self._db.execute(schema.END_JOB, schema.ended_row(change))
 
     def prune(self, ended_before: float, max_results: int, max_deletions: int) -> int:
         """Delete results that are too old or too many, at most `max_deletions`; return how many were deleted.
@@ -208,20 +195,29 @@
                 self._db.execute(f"PRAGMA incremental_vacuum({max_deletions})")
         return int(deleted)
 
+    def delete_oldest_results(self, ended_before: float, max_deletions: int, with_keyed: bool) -> int:
+        """Delete the oldest results; return how many were deleted. Raises StoreError.
+
+        `with_keyed`: also those of jobs with an idempotency key, which would run again if submitted again.
+        """
+        query = schema.DELETE_OLD_RESULTS if with_keyed else schema.DELETE_OLD_UNKEYED_RESULTS
+        with self._fenced_transaction():
+            return int(self._db.execute(query, (ended_before, max_deletions)).rowcount)
+
     # ---- Reading ----
 
+    def used_bytes(self) -> int:
+        """Return the size of the store without its free pages. Raises StoreError, as all queries do."""
+        with store_errors():
+            return fetch_scalar(self._db, schema.USED_BYTES)
+
     def find(self, id_: str) -> StoredJob | None:
-        """Return a job by its id; None if it is unknown. Raises StoreError, as all queries do."""
-        return self._select_job(schema.SELECT_BY_ID, (id_,))
+        """Return a job by its id; None if it is unknown."""
+        return select_job(self._db, schema.SELECT_BY_ID, (id_,))
 
     def find_by_idempotency_key(self, tenant: str, key: str) -> StoredJob | None:
         """Return a job by its idempotency key; None if it is unknown."""
-        return self._select_job(schema.SELECT_BY_IDEMPOTENCY_KEY, (tenant, key))
-
-    def _select_job(self, query: str, values: tuple[object, ...]) -> StoredJob | None:
-        with store_errors():
-            row = self._db.execute(query, values).fetchone()
-        return schema.stored_job(row) if row else None
+        return select_job(self._db, schema.SELECT_BY_IDEMPOTENCY_KEY, (tenant, key))
 
     def unfinished_jobs(self, after: int, limit: int) -> list[StoredJob]:
         """Return up to `limit` jobs that have not ended, by their numbers, which are above `after`."""
@@ -245,6 +241,13 @@
     return int(db.execute(query).fetchone()[0])
 
 
+def select_job(db: Any, query: str, values: tuple[object, ...]) -> StoredJob | None:
+    """Run a query for one job; return None if there is none. Raises StoreError."""
+    with store_errors():
+        row = db.execute(query, values).fetchone()
+    return schema.stored_job(row) if row else None
+
+
 @contextmanager
 def _transaction(db: Any) -> Iterator[None]:
     db.execute("BEGIN IMMEDIATE")
--- a/oxbowyard/store/pending_read.py
+++ b/oxbowyard/store/pending_read.py
@@ -16,17 +16,24 @@
 class PendingRead(Generic[T]):
     """A query with its future result, which is set by the store's thread, or at once if that has ended."""
 
-    def __init__(self, query: Callable[[Database], T]) -> None:
+    def __init__(self, query: Callable[[Database], T], may_be_stale: bool = False) -> None:
+        """`may_be_stale`: while changes cannot be committed, the query runs before them."""
         self._query = query
+        self.may_be_stale = may_be_stale
         self._future: Future[T] = Future()
 
     async def result(self) -> T:
         """Wait for the result. Raises the exception of the query, or the error of `fail`."""
         return await asyncio.wrap_future(self._future)
 
+    @property
+    def is_done(self) -> bool:
+        """Whether there is a result or an error, or the caller was cancelled."""
+        return self._future.done()
+
     def execute(self, database: Database) -> None:
-        """Run the query, unless its caller was cancelled."""
-        if not self._future.set_running_or_notify_cancel():
+        """Run the query, unless that was done before or its caller was cancelled."""
+        if self._future.done() or not self._future.set_running_or_notify_cancel():
             return
         try:
             result = self._query(database)
--- a/oxbowyard/store/schema.py
+++ b/oxbowyard/store/schema.py
@@ -50,6 +50,8 @@
     ended_at = ?, resolved_by = ?, payload = x'' WHERE number = ? AND kept != 'ended'"""
 DELETE_OLD_RESULTS = """DELETE FROM jobs WHERE number IN
     (SELECT number FROM jobs WHERE kept = 'ended' AND ended_at < ? ORDER BY ended_at LIMIT ?)"""
+DELETE_OLD_UNKEYED_RESULTS = """DELETE FROM jobs WHERE number IN (SELECT number FROM jobs
+    WHERE kept = 'ended' AND ended_at < ? AND token = '' ORDER BY ended_at LIMIT ?)"""
 SELECT_OPEN = f"SELECT {COLUMNS} FROM jobs WHERE kept != 'ended' AND number > ? ORDER BY number LIMIT ?"
 SELECT_BY_ID = f"SELECT {COLUMNS} FROM jobs WHERE id = ?"
 SELECT_BY_IDEMPOTENCY_KEY = f"SELECT {COLUMNS} FROM jobs WHERE token != '' AND tenant = ? AND token = ?"
@@ -57,6 +59,8 @@
 COUNT_ENDED = "SELECT count(*) FROM jobs WHERE kept = 'ended'"
 COUNT_JOBS = "SELECT count(*) FROM jobs"
 LAST_NUMBER = "SELECT coalesce(max(number), 0) FROM jobs"
+USED_BYTES = """SELECT (page_count - freelist_count) * page_size
+    FROM pragma_page_count(), pragma_freelist_count(), pragma_page_size()"""
 SELECT_EPOCH = "SELECT value FROM meta WHERE key = 'epoch'"
 # The epoch in which a release opened the store that records all grants. It lags if an earlier one did since.
 SELECT_GRANTS_EPOCH = "SELECT value FROM meta WHERE key = 'grants_epoch'"
@@ -86,6 +90,20 @@
     )
 
 
+def ended_row(ended: JobEnded) -> tuple[object, ...]:
+    """Return the values for `END_JOB`."""
+    return (
+        ended.outcome,
+        ended.run_state,
+        ended.reason,
+        ended.result,
+        ended.retry_after_s,
+        ended.ended_at,
+        ended.resolved_by or None,
+        ended.number,
+    )
+
+
 def lease_values(lease: Lease | None) -> tuple[object, ...]:
     """Return the values for the lease in `UPDATE_STATE`."""
     if lease is None:
--- a/oxbowyard/waiting/job_intake.py
+++ b/oxbowyard/waiting/job_intake.py
@@ -109,8 +109,9 @@
 
     def _check_journal(self, submissions: Sequence[JobSubmission]) -> None:
         retry_after_s = self._settings.full_retry_after_s
-        if any(submission.durable for submission in submissions):
-            reason = self._journal.rejection_reason()
+        durable = [submission for submission in submissions if submission.durable]
+        if durable:
+            reason = self._journal.rejection_reason(durable)
             if reason:
                 raise JobRejectedError(RejectionCode.STORE_UNAVAILABLE, reason, retry_after_s)
         if not self.is_recovering:
--- a/oxbowyard/waiting/journal.py
+++ b/oxbowyard/waiting/journal.py
@@ -56,8 +56,8 @@
     run_id: str  # part of request ids, so that they differ from those of earlier runs
     leases: LeaseTable | None  # None: silent workers are not detected
 
-    def rejection_reason(self) -> str:
-        """Return why no durable jobs are accepted; empty if they are."""
+    def rejection_reason(self, submissions: Sequence[JobSubmission] = ()) -> str:
+        """Return why no durable jobs, or not these, are accepted; empty if they are."""
 
     def failure_reason(self) -> str:
         """Return why the journal has failed for good; empty if it has not."""
@@ -97,7 +97,7 @@
     run_id = ""
     leases: LeaseTable | None = None
 
-    def rejection_reason(self) -> str:
+    def rejection_reason(self, submissions: Sequence[JobSubmission] = ()) -> str:
         """Return an empty string: jobs are always accepted."""
         return ""
 
--- a/tests/test_store_thread.py
+++ b/tests/test_store_thread.py
@@ -15,9 +15,10 @@
 import pytest
 from test_store import job_accepted, job_ended
 
+from oxbowyard.store.committer import PruneLimits
 from oxbowyard.store.database import Database, connect
 from oxbowyard.store.record import Change, StoredState, StoreError
-from oxbowyard.store.writer import PruneLimits, StoreHealth, Writer
+from oxbowyard.store.writer import StoreHealth, Writer
 
 WAIT_S = 5.0  # an operation that takes longer is taken as hanging
 KEEP_ALL = PruneLimits(ended_before=0.0, max_results=1_000, max_deletions=100)
