--- a/oxbowyard/store/committer.py
+++ b/oxbowyard/store/committer.py
@@ -37,6 +37,7 @@
         self._space = space
         self._prune_limits = prune_limits
         self._next_eviction_at = 0.0  # on the steady clock
+        self._record_space()
 
     def apply(self, changes: Sequence[Change]) -> int:
         """Commit the first changes that fit; return how many. Raises StoreError if there are none."""
--- a/oxbowyard/store/writer.py
+++ b/oxbowyard/store/writer.py
@@ -63,6 +63,8 @@
         self._wakeup = threading.Condition()
         self._queue: deque[QueueItem] = deque()
         self._batch: list[QueueItem] = []  # taken from the queue and not completed
+        # Those of the queued queries that need not wait for changes that cannot be committed.
+        self._stale_reads: deque[PendingRead[Any]] = deque()
         self._is_closing = False
         self._has_ended = False  # the thread takes no more items from the queue
         self._failures = 0
@@ -103,6 +105,8 @@
             if self._has_ended:
                 return False
             self._queue.append(item)
+            if isinstance(item, PendingRead) and item.may_be_stale:
+                self._stale_reads.append(item)
             self._wakeup.notify()
             return True
 
@@ -152,6 +156,7 @@
                 item.execute(self._database)
         callbacks = [item for item in self._batch if callable(item)]
         self._batch = []
+        self._drop_finished_reads()
         if callbacks:
             self._call_on_loop(_run_callbacks, callbacks)
         return time.monotonic() < self._next_prune_at or self._prune()
@@ -223,17 +228,14 @@
         """Run the queries that may be stale for an interval, or until the store closes."""
         end = time.monotonic() + interval_s
         while not self._is_closing and (remaining_s := end - time.monotonic()) > 0:
-            for query in self._stale_reads():
-                query.execute(self._database)
+            while self._stale_reads:
+                self._stale_reads.popleft().execute(self._database)
             with self._wakeup:
-                self._wakeup.wait_for(lambda: self._is_closing or self._stale_reads(), remaining_s)
+                self._wakeup.wait_for(lambda: self._is_closing or self._stale_reads, remaining_s)
 
-    def _stale_reads(self) -> list[PendingRead[Any]]:
-        """Return the queries that need not wait for the changes that cannot be committed."""
-        with self._wakeup:
-            waiting = [*self._batch, *self._queue]
-        reads = [item for item in waiting if isinstance(item, PendingRead)]
-        return [read for read in reads if read.may_be_stale and not read.is_done]
+    def _drop_finished_reads(self) -> None:
+        while self._stale_reads and self._stale_reads[0].is_done:
+            self._stale_reads.popleft()
 
     def _set_health(self, health: StoreHealth, error: StoreError | None) -> None:
         if health is self.health:
--- a/tests/test_full_store.py
+++ b/tests/test_full_store.py
@@ -113,6 +113,19 @@
     play(scene)
 
 
+def test_store_that_is_full_at_the_start_accepts_no_jobs(tmp_path: Path) -> None:
+    async def scene() -> None:
+        run = run_with_limit(tmp_path / "jobs.db", 1 << 20)
+        number = 0
+        while await submit(run, f"job{number}", LARGE_PAYLOAD, delay_s=60.0):
+            number += 1
+        again = run_with_limit(tmp_path / "jobs.db", 1 << 20)
+        assert not await submit(again, "first", LARGE_PAYLOAD)
+        await again.durable_store.close()
+
+    play(scene)
+
+
 def test_small_jobs_with_large_results_all_end(tmp_path: Path) -> None:
     # Guards against results that find no space because small jobs were accepted up to the limit.
     async def scene() -> None:
