--- a/oxbowyard/store/committer.py
+++ b/oxbowyard/store/committer.py
@@ -13,6 +13,7 @@
 from .space import StoreSpace, accepted_bytes
 
 RESULTS_PER_DELETION = 20  # between two looks at how much space is in use
+MEASUREMENT_INTERVAL_S = 0.05  # at least, between two looks at how much is in use
 EVICTION_PAUSE_S = 5.0  # once there was nothing to evict, since each search reads all kept results
 
 
@@ -37,7 +38,9 @@
         self._space = space
         self._prune_limits = prune_limits
         self._next_eviction_at = 0.0  # on the steady clock
-        self._record_space()
+        self._next_measurement_at = 0.0
+        self._unmeasured_bytes = 0  # of jobs that were committed since the last measurement
+        self._measure_space()
 
     def apply(self, changes: Sequence[Change]) -> int:
         """Commit the first changes that fit; return how many. Raises StoreError if there are none."""
@@ -52,8 +55,11 @@
                 if count == 1 and not self._free_space():
                     raise
                 count = max(count // 2, 1)
-        queued = sum(accepted_bytes(change) for change in changes[:count] if isinstance(change, JobAccepted))
-        self._record_space(queued)
+        if self._space.max_bytes:
+            jobs = [change for change in changes[:count] if isinstance(change, JobAccepted)]
+            self._unmeasured_bytes += sum(map(accepted_bytes, jobs))
+            if time.monotonic() >= self._next_measurement_at:
+                self._measure_space()
         return count
 
     def prune(self) -> None:
@@ -62,7 +68,7 @@
             return
         limits = self._prune_limits()
         self._database.prune(limits.ended_before, limits.max_results, limits.max_deletions)
-        self._record_space()
+        self._measure_space()
         if self._space.is_crowded and time.monotonic() >= self._next_eviction_at:
             self._evict_results(limits)
 
@@ -70,7 +76,7 @@
         """Delete results before their time, until there is space for new jobs. Raises StoreError."""
         for _ in range(0, limits.max_deletions, RESULTS_PER_DELETION):
             count = self._database.delete_oldest_results(limits.evictable_before, RESULTS_PER_DELETION, False)
-            self._record_space()
+            self._measure_space()
             if count < RESULTS_PER_DELETION:
                 self._next_eviction_at = time.monotonic() + EVICTION_PAUSE_S
             if count < RESULTS_PER_DELETION or not self._space.is_crowded:
@@ -81,7 +87,7 @@
 
         While the store is far from its size limit the disk is full, and results are not deleted for that.
         """
-        self._record_space()
+        self._measure_space()
         if self._prune_limits is None or not self._space.is_crowded:
             return False
         return any(
@@ -89,10 +95,11 @@
             for with_keyed in (False, True)
         )
 
-    def _record_space(self, committed_bytes: int = 0) -> None:
+    def _measure_space(self) -> None:
+        """Report what is in use. Until then the jobs that were committed count as queued ones."""
         if not self._space.max_bytes:
             return
-        used_bytes = self._space.used_bytes
+        self._next_measurement_at = time.monotonic() + MEASUREMENT_INTERVAL_S
         with suppress(StoreError):  # the changes are committed, so a failure must not cause a retry
-            used_bytes = self._database.used_bytes()
-        self._space.record_commit(used_bytes, committed_bytes)
+            self._space.record_commit(self._database.used_bytes(), self._unmeasured_bytes)
+            self._unmeasured_bytes = 0
--- a/oxbowyard/store/space.py
+++ b/oxbowyard/store/space.py
@@ -86,7 +86,7 @@
     # ---- Called on the store's thread ----
 
     def record_commit(self, used_bytes: int, committed_bytes: int = 0) -> None:
-        """Record what the store uses after a commit, and how much of it was queued."""
+        """Record what the store uses, and how much of it was queued before."""
         with self._lock:
             self.used_bytes = used_bytes
             self._queued_bytes -= committed_bytes
--- a/oxbowyard/store/writer.py
+++ b/oxbowyard/store/writer.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
-from typing import Any, TypeGuard, TypeVar
+from typing import Any, TypeVar
 
 from .committer import Committer, PruneLimits
 from .database import Database
@@ -80,7 +80,7 @@
     def put(self, change: Change) -> None:
         """Queue a change. Changes are committed in the order of these calls."""
         if self.health not in LOST_STATES:
-            if isinstance(change, JobAccepted):
+            if self._space.max_bytes and isinstance(change, JobAccepted):
                 self._space.add_queued(accepted_bytes(change))
             self._push(change)
 
@@ -144,7 +144,9 @@
         Of a batch that does not fit into the store, the first changes that do are committed, and the rest
         goes back to the queue. Returns whether the store can continue.
         """
-        changes = [item for item in self._batch if _is_change(item)]
+        changes: list[Change] = [
+            item for item in self._batch if not callable(item) and not isinstance(item, PendingRead)
+        ]
         if changes:
             committed = self._commit(changes)
             if not committed:
@@ -276,10 +278,6 @@
     return StoreError(StoreFailure.FAILED, f"the store is {health.value}")
 
 
-def _is_change(item: QueueItem) -> TypeGuard[Change]:
-    return not callable(item) and not isinstance(item, PendingRead)
-
-
 def _run_callbacks(callbacks: list[Callable[[], None]]) -> None:
     for callback in callbacks:
         try:
