--- a/oxbowyard/store/committer.py
+++ b/oxbowyard/store/committer.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass
 
 from .database import Database
-from .record import Change, JobAccepted, StoreError, StoreFailure
-from .space import StoreSpace, accepted_bytes
+from .record import Change, JobAccepted, JobEnded, StoreError, StoreFailure
+from .space import StoreSpace, accepted_bytes, stored_bytes
 
 RESULTS_PER_DELETION = 20  # between two looks at how much space is in use
-MEASUREMENT_INTERVAL_S = 0.05  # at least, between two looks at how much is in use
+MEASUREMENT_INTERVAL_S = 0.05  # between two looks at how much is in use, unless much was committed
+MAX_UNMEASURED_SHARE = 1 / 64  # of the size limit
 EVICTION_PAUSE_S = 5.0  # once there was nothing to evict, since each search reads all kept results
 
 
@@ -39,7 +40,8 @@
         self._prune_limits = prune_limits
         self._next_eviction_at = 0.0  # on the steady clock
         self._next_measurement_at = 0.0
-        self._unmeasured_bytes = 0  # of jobs that were committed since the last measurement
+        self._unmeasured_job_bytes = 0  # of jobs that were committed since the last measurement
+        self._unmeasured_result_bytes = 0
         self._measure_space()
 
     def apply(self, changes: Sequence[Change]) -> int:
@@ -56,10 +58,7 @@
                     raise
                 count = max(count // 2, 1)
         if self._space.max_bytes:
-            jobs = [change for change in changes[:count] if isinstance(change, JobAccepted)]
-            self._unmeasured_bytes += sum(map(accepted_bytes, jobs))
-            if time.monotonic() >= self._next_measurement_at:
-                self._measure_space()
+            self._count_unmeasured(changes[:count])
         return count
 
     def prune(self) -> None:
@@ -95,11 +94,23 @@
             for with_keyed in (False, True)
         )
 
+    def _count_unmeasured(self, changes: Sequence[Change]) -> None:
+        """Count what was committed since the last measurement, and measure again if that is due."""
+        for change in changes:
+            if isinstance(change, JobAccepted):
+                self._unmeasured_job_bytes += accepted_bytes(change)
+            elif isinstance(change, JobEnded):
+                self._unmeasured_result_bytes += stored_bytes(len(change.result))
+        unmeasured_bytes = self._unmeasured_job_bytes + self._unmeasured_result_bytes
+        is_much = unmeasured_bytes > MAX_UNMEASURED_SHARE * self._space.max_bytes
+        if is_much or time.monotonic() >= self._next_measurement_at:
+            self._measure_space()
+
     def _measure_space(self) -> None:
         """Report what is in use. Until then the jobs that were committed count as queued ones."""
         if not self._space.max_bytes:
             return
         self._next_measurement_at = time.monotonic() + MEASUREMENT_INTERVAL_S
         with suppress(StoreError):  # the changes are committed, so a failure must not cause a retry
-            self._space.record_commit(self._database.used_bytes(), self._unmeasured_bytes)
-            self._unmeasured_bytes = 0
+            self._space.record_commit(self._database.used_bytes(), self._unmeasured_job_bytes)
+            self._unmeasured_job_bytes = self._unmeasured_result_bytes = 0
--- a/tests/test_full_store.py
+++ b/tests/test_full_store.py
@@ -117,8 +117,10 @@
     async def scene() -> None:
         run = run_with_limit(tmp_path / "jobs.db", 1 << 20)
         number = 0
-        while await submit(run, f"job{number}", LARGE_PAYLOAD, delay_s=60.0):
-            number += 1
+        for _ in range(2):  # what is in use is known exactly a second after the latest commit
+            while await submit(run, f"job{number}", LARGE_PAYLOAD, delay_s=60.0):
+                number += 1
+            await asyncio.sleep(1.2)
         again = run_with_limit(tmp_path / "jobs.db", 1 << 20)
         assert not await submit(again, "first", LARGE_PAYLOAD)
         await again.durable_store.close()
