Tests: one run_scenario for the scenarios on a scheduler

Change: it is in scheduler_harness.py, with `starts` for the two files that start the scheduler first.

--- a/tests/scheduler_harness.py
+++ b/tests/scheduler_harness.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import tomllib
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -28,6 +29,7 @@
 TESTS_FOLDER = Path(__file__).parent
 SETTINGS: dict[str, Any] = json.loads((TESTS_FOLDER / "settings.json").read_text())
 ANSWER = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SCENARIO_TIMEOUT_S = 120.0
 
 
 class GatedConnectLoop(VirtualLoop):
@@ -199,6 +201,29 @@
         self._server.close()
 
 
+def run_scenario(
+    tmp_path: Path,
+    scenario: Callable[[SchedulerHarness], Awaitable[None]],
+    waiting: WaitingSettings | None = None,
+    starts: bool = False,
+    **changes: Any,
+) -> None:
+    """Run a scenario on a scheduler of its own, which is started before if `starts` is set."""
+
+    async def run() -> None:
+        harness = SchedulerHarness(tmp_path, waiting, **changes)
+        try:
+            async with asyncio.timeout(SCENARIO_TIMEOUT_S):
+                if starts:
+                    await harness.start()
+                await scenario(harness)
+        finally:
+            await harness.close()
+
+    with asyncio.Runner(loop_factory=GatedConnectLoop) as runner:
+        runner.run(run())
+
+
 def request_bytes(job_class: str, id_: str = "a1", body: str = "hello", deadline_s: float = 9.0) -> bytes:
     """Return an HTTP request with the headers that clients send."""
     head = [f"POST /{job_class} HTTP/1.1", "Host: api", f"Req-Id: {id_}", f"Req-Kind: {job_class}"]
--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -8,18 +8,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 from scheduler_harness import (
     SETTINGS,
-    GatedConnectLoop,
     SchedulerHarness,
     disconnect,
     request_bytes,
     run_loop_iterations,
+    run_scenario,
 )
 
 from oxbowyard.core.request import AttemptContext, Request
@@ -37,24 +37,6 @@
 SLOW_CONNECT_S = 1.5  # duration of a slow connect to a worker
 
 
-def run_scenario(
-    tmp_path: Path,
-    scenario: Callable[[SchedulerHarness], Awaitable[None]],
-    waiting: WaitingSettings | None = None,
-    **changes: Any,
-) -> None:
-    async def run() -> None:
-        harness = SchedulerHarness(tmp_path, waiting, **changes)
-        try:
-            async with asyncio.timeout(120.0):
-                await scenario(harness)
-        finally:
-            await harness.close()
-
-    with asyncio.Runner(loop_factory=GatedConnectLoop) as runner:
-        runner.run(run())
-
-
 async def _send_request(
     harness: SchedulerHarness, job_class: str, ahead: int
 ) -> tuple[object, Callable[[str], None]]:
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -5,17 +5,10 @@
 import asyncio
 import gc
 import socket
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
-from scheduler_harness import (
-    GatedConnectLoop,
-    SchedulerHarness,
-    disconnect,
-    request_bytes,
-    run_loop_iterations,
-)
+from scheduler_harness import SchedulerHarness, disconnect, request_bytes, run_loop_iterations, run_scenario
 
 from oxbowyard.clients.connection import Connection
 from oxbowyard.clients.limits import MAX_BODY_BYTES, MAX_PIPELINED_BYTES
@@ -35,20 +28,6 @@
 }
 
 
-def run_scenario(tmp_path: Path, scenario: Callable[[SchedulerHarness], Awaitable[None]]) -> None:
-    async def run() -> None:
-        harness = SchedulerHarness(tmp_path)
-        try:
-            async with asyncio.timeout(120.0):
-                await harness.start()
-                await scenario(harness)
-        finally:
-            await harness.close()
-
-    with asyncio.Runner(loop_factory=GatedConnectLoop) as runner:
-        runner.run(run())
-
-
 async def _send(harness: SchedulerHarness, data: bytes) -> socket.socket:
     """Send data on a new connection for as long as the scheduler reads it."""
     client = harness.connect()
@@ -92,7 +71,7 @@
         finally:
             gc.enable()
 
-    run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, scenario, starts=True)
 
 
 def test_requests_behind_one_that_is_answered_are_not_parsed(tmp_path: Path) -> None:
@@ -105,7 +84,7 @@
         held = harness.subsystems.memory.used_by[Holder.CONNECTIONS]
         assert MAX_PIPELINED_BYTES // 4 < held < MAX_PIPELINED_BYTES
 
-    run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, scenario, starts=True)
 
 
 def test_client_that_costs_most_and_is_owed_nothing_gives_way(tmp_path: Path) -> None:
@@ -127,7 +106,7 @@
         assert (await harness.read_available(taken)).startswith(b"HTTP/1.1 200")
         assert harness.client_connections.counts["gave way for memory"] == 1
 
-    run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, scenario, starts=True)
 
 
 @pytest.mark.parametrize("memory_mb", [40, 96, 192, 2048])
@@ -184,4 +163,4 @@
             sent = bytes(harness.worker.received[0])
             assert int(sent.partition(b"Req-Deadline: ")[2].partition(b"m")[0]) <= 1000 * (9.0 - waited_s)
 
-    run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, scenario, starts=True)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,10 +8,8 @@
 import asyncio
 import re
 import socket
-from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
 import pytest
 from scheduler_harness import (
@@ -21,6 +19,7 @@
     disconnect,
     request_bytes,
     run_loop_iterations,
+    run_scenario,
 )
 
 from oxbowyard.clients.connection import Connection, Phase
@@ -37,21 +36,6 @@
 from oxbowyard.listeners.acceptor import Acceptor
 
 
-def run_scenario(
-    tmp_path: Path, scenario: Callable[[SchedulerHarness], Awaitable[None]], **changes: Any
-) -> None:
-    async def run() -> None:
-        harness = SchedulerHarness(tmp_path, **changes)
-        try:
-            async with asyncio.timeout(120.0):
-                await scenario(harness)
-        finally:
-            await harness.close()
-
-    with asyncio.Runner(loop_factory=GatedConnectLoop) as runner:
-        runner.run(run())
-
-
 async def _shut_down(harness: SchedulerHarness) -> None:
     """Shut down in the program's order, beginning with the stop of accepting."""
     harness.client_connections.start_draining()
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -12,11 +12,11 @@
 import pytest
 from scheduler_harness import (
     SETTINGS,
-    GatedConnectLoop,
     SchedulerHarness,
     disconnect,
     request_bytes,
     run_loop_iterations,
+    run_scenario,
 )
 
 Scenario = Callable[[SchedulerHarness], Awaitable[None]]
@@ -25,20 +25,6 @@
 LATER_S = 0.5
 
 
-def run_scenario(tmp_path: Path, scenario: Scenario, lanes: list[dict[str, object]] | None = None) -> None:
-    async def run() -> None:
-        harness = SchedulerHarness(tmp_path, lanes=lanes or SETTINGS["lanes"])
-        try:
-            async with asyncio.timeout(120.0):
-                await harness.start()
-                await scenario(harness)
-        finally:
-            await harness.close()
-
-    with asyncio.Runner(loop_factory=GatedConnectLoop) as runner:
-        runner.run(run())
-
-
 def _guarded_lanes() -> list[dict[str, object]]:
     """Return the test's classes with `accession` deduplicated by all workers for `WINDOW_S`."""
     guarded = {"semantics": "guarded", "group": "all", "memorySpan": WINDOW_S * 1000}
@@ -74,7 +60,7 @@
         assert (await _send(harness)).startswith(b"HTTP/1.1 502")
         assert harness.worker.complete_requests == 1
 
-    run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, scenario, starts=True)
 
 
 @pytest.mark.parametrize("later_s", [0.0, LATER_S, 30.0])
@@ -86,7 +72,7 @@
         assert (await _send(harness)).startswith(b"HTTP/1.1 502")
         assert harness.worker.complete_requests == 1
 
-    run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, scenario, starts=True)
 
 
 @pytest.mark.parametrize(("later_s", "runs"), [(LATER_S, 2), (WINDOW_S + LATER_S, 1)])
@@ -101,7 +87,7 @@
         assert (await _send(harness)).startswith(b"HTTP/1.1 " + status)
         assert harness.worker.complete_requests == runs
 
-    run_scenario(tmp_path, scenario, _guarded_lanes())
+    run_scenario(tmp_path, scenario, starts=True, lanes=_guarded_lanes())
 
 
 def test_id_of_an_idempotent_class_may_run_again(tmp_path: Path) -> None:
@@ -110,7 +96,7 @@
         assert (await _send(harness, "preview")).startswith(b"HTTP/1.1 200")
         assert (await _send(harness, "preview")).startswith(b"HTTP/1.1 200")
 
-    run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, scenario, starts=True)
 
 
 def test_id_that_never_ran_may_come_again(tmp_path: Path) -> None:
@@ -122,4 +108,4 @@
         harness.worker.remaining_rejections = 0
         assert (await _send(harness)).startswith(b"HTTP/1.1 200")
 
-    run_scenario(tmp_path, scenario)
+    run_scenario(tmp_path, scenario, starts=True)
