--- a/review/10/case.py
+++ b/review/10/case.py
@@ -94,7 +94,7 @@
     note(f"final answer of the desk after {waited_s:.1f} s: {answer or 'NONE'}")
     for worker in workers.values():
         worker.cancel()
-    return HELD if answer else BROKEN
+    return HELD if answer in (WORK_COMPLETE, WORK_FAIL) else BROKEN
 
 
 if __name__ == "__main__":
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -517,11 +517,15 @@
 async def _run(folder: Path, body: Callable[[Case], Awaitable[int]]) -> int:
     tmp = Path(tempfile.mkdtemp(prefix="review-"))
     case = Case(folder, Record(folder), tmp)
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):  # what was started is ended in this case too
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         async with asyncio.timeout(RUN_LIMIT_S):
             await case.discovery.start()
             result = await body(case)
-    except Exception as error:  # also a fault of the case's own: it says nothing about the rule
+    except (Exception, asyncio.CancelledError) as error:  # also a fault of the case's own
         case.record.note(f"could not run: {type(error).__name__} {error}".replace(str(tmp), "TMP"))
         result = COULD_NOT_RUN
     finally:
