--- a/oxbowyard/gearman/deferred_jobs.py
+++ b/oxbowyard/gearman/deferred_jobs.py
@@ -9,14 +9,16 @@
 
 from ..core.request import Request
 from ..decision.settings import RetrySafety
-from ..waiting.job import JobOutcome, JobRejectedError, JobResult, RejectionCode, WaitOptions
+from ..waiting.job import Job as DeferredJob
+from ..waiting.job import JobOutcome, JobRejectedError, JobResult, RejectionCode, WaitAbandoned, WaitOptions
+from ..waiting.journal import JobRecord
 from .codec import encode, encode_error
 from .config import Function
 from .errors import ErrorCode, PacketRejectedError
 from .handles import parse_leased_handle
 from .job import DEFERRED_PRIORITIES, PRIORITY_EXTRA, UNIQUE_ENCODING, UNIQUE_EXTRA, Job, JobClient, Priority
 from .job_requests import build_request, digest_key
-from .job_results import send_result
+from .job_results import abandoned_packets, failure_packets, result_packets, send_result
 from .job_table import JobTable
 from .packet_types import PacketType
 from .submission import Submission
@@ -54,7 +56,7 @@
         self._submitting: set[asyncio.Task[None]] = set()
         self._submitters: dict[Job, list[_Submitter]] = {}  # of the jobs that are being stored
         queue.recovery_handlers.append(self.adopt)
-        queue.intake.journal_lost_callbacks.append(self._notify_store_lost)
+        queue.abandoned_waits.notify(self._on_abandoned)
 
     def must_store(self, submission: Submission) -> bool:
         """Return whether the job must be stored before its client gets the handle."""
@@ -82,6 +84,16 @@
         self._submitting.add(task)
         task.add_done_callback(self._submitting.discard)
 
+    async def finish_storing(self, timeout_s: float) -> None:
+        """Wait until all submissions are acknowledged. Those that are not by then get an error."""
+        if not self._submitting:
+            return
+        _, pending = await asyncio.wait(self._submitting, timeout=timeout_s)
+        for task in pending:
+            task.cancel()
+        if pending:
+            await asyncio.wait(pending)
+
     def is_being_stored(self, job: Job) -> bool:
         """Return whether the job is not acknowledged yet, because storing it is still in progress."""
         return job in self._submitters
@@ -92,10 +104,10 @@
         self._submitters[job].append(_Submitter(client, submission.is_background))
 
     async def _store(self, job: Job, request: Request, options: WaitOptions) -> None:
-        rejection = encode_error(ErrorCode.JOB_QUEUE_FULL, "the job was not stored")
-        handle = ""
+        rejection = encode_error(ErrorCode.JOB_QUEUE_FULL, "it is not known whether the job was stored")
+        stored: JobRecord | None = None
         try:
-            handle = await self._submit_and_store(job, request, options)
+            stored = await self._submit_and_store(job, request, options)
         except JobRejectedError as error:
             self._table.remove(job)
             rejection = encode_error(error_code(error), error.text)
@@ -103,36 +115,43 @@
             rejection = encode_error(error.code, error.text)
         finally:
             for submitter in self._submitters.pop(job):
-                if handle:
-                    self._acknowledge(submitter, handle.encode())
+                if stored is not None:
+                    self._acknowledge(submitter, stored)
                 else:
                     submitter.client.send(rejection)
                 submitter.client.resume_input()
 
-    def _acknowledge(self, submitter: _Submitter, handle: bytes) -> None:
-        """Send the handle of a stored job. A client that waits for a job that has ended gets WORK_FAIL."""
-        client = submitter.client
+    def _acknowledge(self, submitter: _Submitter, stored: JobRecord) -> None:
+        """Send the handle of a stored job, and to a client that waits for it what is known of its end."""
+        client, handle = submitter.client, stored.job.id.encode()
         client.send(encode(PacketType.JOB_CREATED, handle))
         if submitter.is_background or not client.is_connected():
             return
         job = self._table.find(handle)
         if job is not None:
             self._table.add_client(job, client)
-        else:  # the submission repeated an earlier job, which has ended
-            client.send(encode(PacketType.WORK_FAIL, handle))
-
-    async def _submit_and_store(self, job: Job, request: Request, options: WaitOptions) -> str:
-        """Submit the job and wait until it is stored. Return its handle, or that of the job it repeats."""
+            self.release_if_abandoned(job)
+            return
+        result = stored.result or self._queue.result(stored.job.id)
+        if result is not None:  # the submission repeated an earlier job, which has ended
+            packets = result_packets(handle, result)
+        else:
+            packets = failure_packets(handle, "its end is not known: the job is in the store only")
+        for packet in packets:
+            client.send(packet)
+
+    async def _submit_and_store(self, job: Job, request: Request, options: WaitOptions) -> JobRecord:
+        """Submit the job and wait until it is stored. Return it, or the job that it repeats."""
         if options.idempotency_key:
             existing = await self._queue.intake.find_existing([(request, options)])
             if existing:
                 self._table.remove(job)
-                return existing[0].job.id
-        handle = self._submit(job, request, options)
+                return existing[0]
+        accepted = self._submit(job, request, options)
         await self._queue.intake.wait_until_durable()
-        return handle
+        return JobRecord(accepted, None)
 
-    def _submit(self, job: Job, request: Request, options: WaitOptions) -> str:
+    def _submit(self, job: Job, request: Request, options: WaitOptions) -> DeferredJob:
         try:
             (accepted,) = self._queue.submit([(request, options)], self._on_end(job))
         except JobRejectedError as error:
@@ -140,7 +159,7 @@
             raise PacketRejectedError(error_code(error), error.text) from None
         if accepted.id != request.id:  # the submission repeats an earlier job
             self._table.remove(job)
-        return accepted.id
+        return accepted
 
     def adopt(self, request: Request) -> tuple[Request, Callable[[JobResult], None]] | None:
         """Adopt a recovered job under its old handle.
@@ -174,12 +193,19 @@
         reason = "" if outcome is JobOutcome.SERVED else "its worker said so, late"
         return self._queue.deliver_late_result(attempt.job_id, attempt.lease, outcome, body, reason)
 
-    def _notify_store_lost(self) -> None:
-        """Send WORK_FAIL to the clients of all stored jobs, whose ends can no longer be recorded."""
-        for job in self._table.stored_jobs():
-            job.send(encode(PacketType.WORK_WARNING, job.handle, b"its end is not known: the store is lost"))
-            job.send(encode(PacketType.WORK_FAIL, job.handle))
-            self._table.forget_clients(job)
+    def release_if_abandoned(self, job: Job) -> None:
+        """Send WORK_FAIL to the clients of a job whose end they will not learn."""
+        abandoned = self._queue.abandoned_waits.find_by_id(job.id)
+        if abandoned is not None:
+            self._on_abandoned(job.id, abandoned)
+
+    def _on_abandoned(self, job_id: str, abandoned: WaitAbandoned) -> None:
+        job = self._table.find(job_id.encode())
+        if job is None:
+            return
+        for packet in abandoned_packets(job.handle, abandoned):
+            job.send(packet)
+        self._table.forget_clients(job)
 
     def _on_end(self, job: Job) -> Callable[[JobResult], None]:
         def on_end(result: JobResult) -> None:
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -65,7 +65,8 @@
             self._acceptor.close()
 
     async def close(self) -> None:
-        """Close all connections, after giving the peers time to read the last responses."""
+        """Close all connections, after each submission was answered and the peers had time to read."""
+        await self._jobs.finish_submissions(FLUSH_TIMEOUT_S)
         for connection in list(self._connections):
             connection.finish()
         if self._connections:
--- a/oxbowyard/gearman/job_table.py
+++ b/oxbowyard/gearman/job_table.py
@@ -100,10 +100,6 @@
             del job.clients[client]
         return jobs
 
-    def stored_jobs(self) -> list[Job]:
-        """Return the jobs that are stored or are being stored."""
-        return [job for job in self._by_handle.values() if job.is_durable]
-
     def forget_clients(self, job: Job) -> None:
         """Remove all clients that wait for a job."""
         for client in job.clients:
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -118,8 +118,11 @@
     def _join(self, job: Job, client: JobClient, submission: Submission) -> None:
         job.is_background |= submission.is_background
         client.send(encode(PacketType.JOB_CREATED, job.handle))
-        if not submission.is_background:
-            self._table.add_client(job, client)
+        if submission.is_background:
+            return
+        self._table.add_client(job, client)
+        if self._deferred is not None:
+            self._deferred.release_if_abandoned(job)
 
     async def _serve(self, job: Job, request: Request) -> None:
         try:
@@ -144,6 +147,11 @@
             self._deferred.cancel(job)
         self._table.remove(job)
 
+    async def finish_submissions(self, timeout_s: float) -> None:
+        """See `DeferredJobs.finish_storing`."""
+        if self._deferred is not None:
+            await self._deferred.finish_storing(timeout_s)
+
     def deliver_late_result(self, handle: bytes, outcome: JobOutcome, body: bytes) -> bool:
         """See `DeferredJobs.deliver_late_result`. Return False if no job is deferred."""
         return self._deferred is not None and self._deferred.deliver_late_result(handle, outcome, body)
--- a/oxbowyard/waiting/core_submissions.py
+++ b/oxbowyard/waiting/core_submissions.py
@@ -123,6 +123,11 @@
             submission = self._submissions[job_id] = _Submission(job_id)
         return submission
 
+    def is_running(self, job_id: str) -> bool:
+        """Return whether the core is processing the request of a job."""
+        submission = self._submissions.get(job_id)
+        return submission is not None and submission.task is not None
+
     def has_running_tasks(self) -> bool:
         """Return whether the core is processing any job's request."""
         return any(submission.task is not None for submission in self._submissions.values())
--- a/oxbowyard/waiting/job.py
+++ b/oxbowyard/waiting/job.py
@@ -79,6 +79,31 @@
     BYTES_FULL = "bytes_full"
 
 
+class AbandonCause(Enum):
+    """Why the end of a job will not be learned by this process."""
+
+    INDETERMINATE = "indeterminate"  # until somebody resolves it
+    LEFT_IN_STORE = "left in the store"  # the next run of the program goes on with it
+    STORE_LOST = "store lost"  # the end cannot be recorded
+
+
+@dataclass(slots=True, frozen=True)
+class WaitAbandoned:
+    """The end of a wait for a job without the job's result. The job may still run, or run later."""
+
+    cause: AbandonCause
+    reason: str
+
+    @property
+    def text(self) -> str:
+        """The explanation for a client."""
+        return f"its end is not known: {self.reason}"
+
+    def answer(self, run_state: RunState) -> Answer:
+        """Convert it to an answer of the core: a rejection would promise that a repeat is harmless."""
+        return Answer(AnswerKind.FAILED, reason=self.text, run_state=run_state)
+
+
 class JobRejectedError(Exception):
     """A submission is rejected with all its jobs. `retry_after_s` is 0 if a retry cannot succeed."""
 
--- a/oxbowyard/waiting/job_queue.py
+++ b/oxbowyard/waiting/job_queue.py
@@ -16,9 +16,10 @@
 
 from ..core.memory_budget import MemoryBudget
 from ..core.repeats import MS_PER_S
-from ..core.request import Answer, AnswerKind, Request, RunState
+from ..core.request import Answer, Request, RunState
 from ..core.scheduler import Scheduler
 from ..decision.settings import JobClass
+from .abandoned_waits import AbandonedWaits
 from .core_submissions import CoreSubmissions, WorkerAnswer
 from .fleet_view import FleetView
 from .grants import RepeatLimit, RepeatRules
@@ -95,6 +96,9 @@
             clock,
             self._driver.drive,
         )
+        self.abandoned_waits = self._driver.abandoned_waits = AbandonedWaits(
+            self._policy, self._journal, self._submissions, self._watchers
+        )
         if memory is not None:
             self._driver.on_driven = JobMemory(memory, self._policy.held).update
         self.intake = JobIntake(
@@ -108,6 +112,7 @@
             clock,
             wall_clock,
         )
+        self.intake.journal_lost_callbacks.append(self.abandoned_waits.release_all)
         self.recovery_handlers: list[RecoveryHandler] = []
 
     # ---- Submission ----
@@ -122,16 +127,14 @@
         A rejected job never ran, or may safely run again; see `Answer.run_state`. Raises JobRejectedError.
         """
         (job,) = self.submit([(request, options)])
+        end = self._driver.results.get(job.id) or self.abandoned_waits.find(job)
         try:
-            result = self._driver.results.get(job.id) or await self._watchers.wait(job.id)
+            end = end or await self._watchers.wait(job.id)
         except asyncio.CancelledError:
             if job.id == request.id:  # otherwise the job belongs to the client that submitted it first
                 self.cancel(job.id, "its client left")
             raise
-        if result is None:
-            retry_after_s = self.settings.full_retry_after_s
-            return Answer(AnswerKind.REJECTED, retry_after_s=retry_after_s, reason="kept for later")
-        return result.answer()
+        return end.answer() if isinstance(end, JobResult) else end.answer(job.run_state)
 
     # ---- Queries ----
 
@@ -164,13 +167,16 @@
         return self._policy.page(after, min(limit, self.settings.max_page), matches)
 
     async def wait(self, id_: str, timeout_s: float) -> JobResult | None:
-        """Wait for a job's result and return it; None if the time is over or the job is unknown.
+        """Wait for a job's result and return it; None if the time is over, or if the job is unknown or its
+        end will not be learned. An indeterminate job is waited for, since it may be resolved.
 
         Raises JobRejectedError if too many callers wait.
         """
-        result = self._driver.results.get(id_)
-        if result is not None or self.find(id_) is None or timeout_s <= 0:
+        result, job = self._driver.results.get(id_), self.find(id_)
+        if result is not None or job is None or timeout_s <= 0:
             return result
+        if job.state is not JobState.INDETERMINATE and self.abandoned_waits.find(job) is not None:
+            return None
         return await self._watchers.poll(id_, timeout_s)
 
     def summary(self) -> str:
@@ -285,10 +291,9 @@
         now = self._clock()
         self._driver.is_stopping = True
         self._submissions.is_stopping = True
+        self.abandoned_waits.is_stopping = True
         self._policy.stop(now, keep_durable=self._journal.is_durable)
-        if self._journal.is_durable:
-            for id_ in self._watchers.watched_job_ids():
-                self._watchers.release_waiters(id_)
+        self.abandoned_waits.release_all()
         self._driver.drive(now)
 
     async def wait_until_idle(self) -> None:
--- a/oxbowyard/waiting/policy_driver.py
+++ b/oxbowyard/waiting/policy_driver.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Collection
 
 from ..core.service_measure import ServiceMeasure
+from .abandoned_waits import AbandonedWaits
 from .core_submissions import CoreSubmissions, WorkerAnswer
 from .job import Action, DependencySatisfied, Job, JobOutcome, JobResult, JobState, StateChanged, SubmitJob
 from .journal import JobJournal
@@ -42,6 +43,7 @@
         self._clock = clock
         self._loop = asyncio.get_running_loop()
         self.submissions: CoreSubmissions  # set by the queue, because the two refer to each other
+        self.abandoned_waits: AbandonedWaits  # set by the queue, since it refers to the submissions
         self.results: dict[str, JobResult] = {}  # by job id, until the job is purged
         self.resolved_by: dict[str, str] = {}  # operators, by the ids of jobs that are about to end
         self.outcomes = dict.fromkeys(JobOutcome, 0)  # counts since the start of the program, for operators
@@ -108,9 +110,11 @@
             self._deliver_result(job, result)
         elif change.state is JobState.INDETERMINATE:
             log.warning("job indeterminate: job=%s class=%s reason=%s", job.id, job.job_class, job.reason)
-            self._watchers.release_waiters(job.id)
+            self.abandoned_waits.release(job)
         elif change.state is JobState.PURGED:
             self.results.pop(job.id, None)
+        elif self.is_stopping and job.is_waiting:
+            self.abandoned_waits.release(job)
 
     def _build_result(self, job: Job) -> JobResult:
         assert job.outcome is not None
--- a/oxbowyard/waiting/result_watchers.py
+++ b/oxbowyard/waiting/result_watchers.py
@@ -5,10 +5,11 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from .job import JobRejectedError, JobResult, RejectionCode
+from .job import JobRejectedError, JobResult, RejectionCode, WaitAbandoned
 from .settings import WaitingSettings
 
 OnEnd = Callable[[JobResult], None]
+OnAbandoned = Callable[[str, WaitAbandoned], None]  # called with the id of the job
 
 
 class ResultWatchers:
@@ -17,8 +18,10 @@
     def __init__(self, settings: WaitingSettings) -> None:
         self._settings = settings
         self._loop = asyncio.get_running_loop()
-        self._futures: dict[str, list[asyncio.Future[JobResult | None]]] = {}
+        self._futures: dict[str, list[asyncio.Future[JobResult | WaitAbandoned]]] = {}
         self._callbacks: dict[str, OnEnd] = {}
+        # Called when waiting for a job is in vain; set by fronts whose clients wait behind an `OnEnd`.
+        self.abandon_callbacks: list[OnAbandoned] = []
         self._polling = 0
 
     def set_callback(self, job_id: str, callback: OnEnd) -> None:
@@ -30,7 +33,10 @@
         return job_id in self._callbacks
 
     async def poll(self, job_id: str, timeout_s: float) -> JobResult | None:
-        """Wait for the job's result; None if the time is over. Raises JobRejectedError if too many wait."""
+        """Wait for the job's result; None if the time is over or waiting is in vain.
+
+        Raises JobRejectedError if too many wait.
+        """
         settings = self._settings
         if self._polling >= settings.max_watchers:
             text = f"{settings.max_watchers} wait already"
@@ -38,22 +44,23 @@
         self._polling += 1
         try:
             async with asyncio.timeout(min(timeout_s, settings.max_poll_s)):
-                return await self.wait(job_id)
+                end = await self.wait(job_id)
+                return end if isinstance(end, JobResult) else None
         except TimeoutError:
             return None
         finally:
             self._polling -= 1
 
-    async def wait(self, job_id: str) -> JobResult | None:
-        """Wait for the job's result; None if waiting ended without one, as on a shutdown."""
-        future: asyncio.Future[JobResult | None] = self._loop.create_future()
+    async def wait(self, job_id: str) -> JobResult | WaitAbandoned:
+        """Wait for the job's result, or until it is known that it will not be learned."""
+        future: asyncio.Future[JobResult | WaitAbandoned] = self._loop.create_future()
         self._futures.setdefault(job_id, []).append(future)
         try:
             return await future
         finally:
             self._remove(job_id, future)
 
-    def _remove(self, job_id: str, future: asyncio.Future[JobResult | None]) -> None:
+    def _remove(self, job_id: str, future: asyncio.Future[JobResult | WaitAbandoned]) -> None:
         futures = self._futures.get(job_id)
         if futures is None or future not in futures:
             return
@@ -70,12 +77,14 @@
         if callback is not None:
             callback(result)
 
-    def release_waiters(self, job_id: str) -> None:
-        """End all waits for the job without a result, because it may take arbitrarily long."""
+    def abandon(self, job_id: str, abandoned: WaitAbandoned) -> None:
+        """End all waits for the job without a result. Its callback stays, for those who wait later."""
         for future in self._futures.get(job_id, ()):
             if not future.done():
-                future.set_result(None)
+                future.set_result(abandoned)
+        for callback in self.abandon_callbacks:
+            callback(job_id, abandoned)
 
     def watched_job_ids(self) -> Iterable[str]:
-        """Return the ids of the jobs that are waited for."""
-        return list(self._futures)
+        """Return the ids of the jobs that may be waited for."""
+        return list(self._futures.keys() | self._callbacks.keys())
--- a/tests/test_gearman_durable.py
+++ b/tests/test_gearman_durable.py
@@ -59,9 +59,9 @@
 class Front:
     """The client side of the Gearman front over a durable store."""
 
-    def __init__(self, path: Path, attempt: Attempt, monkeypatch: pytest.MonkeyPatch) -> None:
+    def __init__(self, path: Path, attempt: Attempt, monkeypatch: pytest.MonkeyPatch, **more: Any) -> None:
         monkeypatch.setattr("test_job_queue.CLASSES", (FREE, ONCE, *config_classes()))
-        self.harness = DurableHarness(path, attempt)
+        self.harness = DurableHarness(path, attempt, **more)
         self.harness.queue_harness.update_endpoints(*(WorkerInfo(f"g{i}", kind=KIND) for i in range(4)))
         self.jobs = Jobs(
             config(), self.harness.queue_harness.scheduler, "t", MemoryBudget(1 << 26), self.harness.job_queue
