--- a/oxbowyard/daemon/composition.py
+++ b/oxbowyard/daemon/composition.py
@@ -75,8 +75,8 @@
         self.background.start(self.discovery.run())
 
     def apply_settings(self, settings: Settings) -> None:
-        """Apply the classes and the number of attempts of these settings to new requests. The classes of the
-        Gearman functions do not change."""
+        """Apply the classes and the number of attempts of these settings to new requests of all fronts."""
+        self.classes = frozenset(c.name for c in settings.classes)
         settings = _with_functions(settings, self.gearman.config if self.gearman else None)
         self.scheduler.apply_settings(settings)
         self.backends.non_repeatable = _not_idempotent(settings.classes)
@@ -183,11 +183,10 @@
 
 
 def _with_functions(settings: Settings, gearman: GearmanConfig | None) -> Settings:
-    """Return the settings with one more class for each Gearman function."""
+    """Return the settings with one more class for each Gearman function, which follows these settings."""
     if gearman is None:
         return settings
-    functions = tuple(f.job_class for f in gearman.functions.values())
-    return replace(settings, classes=settings.classes + functions)
+    return replace(settings, classes=settings.classes + gearman.apply_classes(settings.classes))
 
 
 def _classes(requested: tuple[JobClass, ...], waiting: WaitingSettings | None) -> _Classes:
--- a/oxbowyard/daemon/reload.py
+++ b/oxbowyard/daemon/reload.py
@@ -106,7 +106,7 @@
         context = self._context
         self.settings = settings
         context.subsystems.apply_settings(settings)
-        context.client_connections.classes = frozenset(c.name for c in settings.classes)
+        context.client_connections.classes = context.subsystems.classes
         context.longest_deadline_s = max(
             context.longest_deadline_s, *(c.deadline_ms / MS_PER_S for c in settings.classes)
         )
--- a/oxbowyard/decision/state.py
+++ b/oxbowyard/decision/state.py
@@ -212,8 +212,7 @@
         self.random = Random(seed)
         self.actions: list[Action] = []  # returned for the event that is being handled
         self.classes = {job_class.name: job_class for job_class in settings.classes}
-        strictest = min(settings.classes, key=lambda job_class: job_class.latency_objective_ms)
-        self.unknown_class = JobClass("", strictest.latency_objective_ms, strictest.deadline_ms)
+        self.unknown_class = _unknown_class(settings.classes)
 
         # Workers
         self.workers: dict[str, Worker] = {}
@@ -268,3 +267,10 @@
         """Use other classes for requests received from now on."""
         self.settings = replace(self.settings, classes=classes, max_attempts=max_attempts)
         self.classes = {job_class.name: job_class for job_class in classes}
+        self.unknown_class = _unknown_class(classes)
+
+
+def _unknown_class(classes: tuple[JobClass, ...]) -> JobClass:
+    """Return the class of requests of an unknown class: it has the strictest objective of all classes."""
+    strictest = min(classes, key=lambda job_class: job_class.latency_objective_ms)
+    return JobClass("", strictest.latency_objective_ms, strictest.deadline_ms)
--- a/oxbowyard/gearman/config.py
+++ b/oxbowyard/gearman/config.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -31,14 +31,61 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Function:
-    """One Gearman function and the job class of its jobs."""
+class FunctionDefinition:
+    """What the file says of one function."""
 
     name: str
-    job_class: JobClass
+    base_class: str  # name of the class of the settings that its class is based on
+    deadline_ms: float | None = None  # None: that of the base class
+    priority_weight: float | None = None  # None: that of the base class
     queueing: bool = False  # rejected jobs wait and are submitted again; requires the table [waiting]
     max_wait_s: float | None = None  # how long its jobs may wait; None for the default of [waiting]
 
+    def job_class(self, base: JobClass) -> JobClass:
+        """Return the class of the function's jobs: `base` with the function's own deadline and weight."""
+        deadline_ms = base.deadline_ms if self.deadline_ms is None else self.deadline_ms
+        weight = base.priority_weight if self.priority_weight is None else self.priority_weight
+        return replace(
+            base,
+            name=f"{KIND}:{self.name}",
+            kind=KIND,
+            deadline_ms=deadline_ms,
+            latency_objective_ms=min(base.latency_objective_ms, deadline_ms),
+            priority_weight=weight,
+        )
+
+
+@dataclass(slots=True)
+class Function:
+    """One Gearman function, and the one place that holds the class in force of its jobs.
+
+    Two functions are equal if the file says the same of them.
+    """
+
+    definition: FunctionDefinition
+    job_class: JobClass = field(compare=False)  # follows the settings in force; its name never changes
+
+    def apply_classes(self, classes: Mapping[str, JobClass]) -> None:
+        """Base the class on these classes of the settings, by name. Without its base it stays as it is."""
+        base = classes.get(self.definition.base_class)
+        if base is not None:
+            self.job_class = self.definition.job_class(base)
+
+    @property
+    def name(self) -> str:
+        """The name by which clients and workers call it."""
+        return self.definition.name
+
+    @property
+    def queueing(self) -> bool:
+        """Whether rejected jobs wait and are submitted again."""
+        return self.definition.queueing
+
+    @property
+    def max_wait_s(self) -> float | None:
+        """How long its jobs may wait; None for the default of [waiting]."""
+        return self.definition.max_wait_s
+
     @property
     def deadline_s(self) -> float:
         """The time limit of a job, in seconds."""
@@ -59,6 +106,13 @@
     max_held_bytes: int  # total size of the workloads of all jobs
     functions: dict[str, Function]
 
+    def apply_classes(self, classes: Iterable[JobClass]) -> tuple[JobClass, ...]:
+        """Base the functions' classes on these classes of the settings, and return the functions' classes."""
+        by_name = {job_class.name: job_class for job_class in classes}
+        for function in self.functions.values():
+            function.apply_classes(by_name)
+        return tuple(function.job_class for function in self.functions.values())
+
 
 def load(path: Path, classes: Iterable[JobClass]) -> GearmanConfig:
     """Read the configuration from a separate file.
@@ -125,25 +179,14 @@
     base = base_classes.get(row.get("class", ""))
     if base is None:
         raise ValueError(f"function {name}: class {row.get('class')!r} is not in the settings")
-    job_class = _job_class(name, row, base)
+    deadline_ms = float(_positive_integer(row, "deadline_ms", 0)) if "deadline_ms" in row else None
+    priority_weight = row.get("worth")
+    if priority_weight is not None and (not _is_number(priority_weight) or priority_weight < 0):
+        raise ValueError(f"function {name}: worth must be a number of at least 0, not {priority_weight!r}")
     max_wait_s = _positive_seconds(row, "patience_s", 0.0, MAX_WAIT_S) if "patience_s" in row else None
     queueing = row.get("queueing", False)
     if not isinstance(queueing, bool):
         raise ValueError(f"function {name}: queueing must be true or false, not {queueing!r}")
-    return Function(name, job_class, queueing, max_wait_s)
-
-
-def _job_class(name: str, row: dict[str, Any], base: JobClass) -> JobClass:
-    """Return the class of a function's jobs: its base class with the function's own deadline and weight."""
-    deadline_ms = float(_positive_integer(row, "deadline_ms", base.deadline_ms))
-    priority_weight = row.get("worth", base.priority_weight)
-    if not _is_number(priority_weight) or priority_weight < 0:
-        raise ValueError(f"function {name}: worth must be a number of at least 0, not {priority_weight!r}")
-    return replace(
-        base,
-        name=f"{KIND}:{name}",
-        kind=KIND,
-        deadline_ms=deadline_ms,
-        latency_objective_ms=min(base.latency_objective_ms, deadline_ms),
-        priority_weight=float(priority_weight),
-    )
+    weight = None if priority_weight is None else float(priority_weight)
+    definition = FunctionDefinition(name, base.name, deadline_ms, weight, queueing, max_wait_s)
+    return Function(definition, definition.job_class(base))
