--- a/oxbowyard/core/attempts.py
+++ b/oxbowyard/core/attempts.py
@@ -126,9 +126,9 @@
         now = self._loop.time()
         outcome = _cancelled_outcome(entry, attempt) if task.cancelled() else task.result()
         entry.attempt = None
+        entry.record_outcome(attempt, outcome.result)
         if entry.request.on_running and entry.run_started_at is not None:
             entry.request.on_running(False)
-        entry.record_outcome(attempt, outcome.result)
         if outcome.result is Result.OK and entry.run_started_at is not None:
             entry.run_time_s = now - entry.run_started_at
         duration_ms = (now - attempt.sent_at) * 1000
--- a/oxbowyard/daemon/composition.py
+++ b/oxbowyard/daemon/composition.py
@@ -153,7 +153,7 @@
         )
     front = None
     if gearman and workers:
-        gearman_jobs = Jobs(gearman, scheduler, config.name, memory, jobs)
+        gearman_jobs = Jobs(gearman, scheduler, config.name, memory, jobs, workers.unfinished_runs)
         workers.workers.on_change = scheduler.update_endpoints
         front = GearmanFront(gearman, gearman_jobs, workers, memory, input_queue)
     return Subsystems(
--- a/oxbowyard/gearman/deferred_jobs.py
+++ b/oxbowyard/gearman/deferred_jobs.py
@@ -22,6 +22,7 @@
 from .job_table import JobTable
 from .packet_types import PacketType
 from .submission import Submission
+from .unfinished_runs import UnfinishedRuns
 
 if TYPE_CHECKING:  # at run time it is imported only if the operator's file has [waiting]
     from ..waiting.job_queue import JobQueue
@@ -49,8 +50,18 @@
 class DeferredJobs:
     """Submits Gearman jobs to the queue of deferred jobs, and adopts jobs of an earlier process."""
 
-    def __init__(self, queue: JobQueue, table: JobTable, functions: Mapping[str, Function]) -> None:
+    def __init__(
+        self,
+        queue: JobQueue,
+        table: JobTable,
+        functions: Mapping[str, Function],
+        on_running: Callable[[Job, bool], None],
+        unfinished_runs: UnfinishedRuns,
+    ) -> None:
+        """`on_running` is called when an attempt of an adopted job starts or ends."""
         self._queue = queue
+        self._on_running = on_running
+        self._unfinished_runs = unfinished_runs
         self._table = table
         self._functions = functions
         self._submitting: set[asyncio.Task[None]] = set()
@@ -175,7 +186,7 @@
         job = self._table.add(request.id.encode(), function, unique, len(request.payload), is_background=True)
         job.is_durable = True
         priority = Priority(int(request.extras.get(PRIORITY_EXTRA, Priority.NORMAL.value)))
-        return build_request(job, request.payload, priority, self._table), self._on_end(job)
+        return build_request(job, request.payload, priority, self._on_running), self._on_end(job)
 
     def cancel(self, job: Job) -> None:
         """Cancel a job after all of its clients have disconnected."""
@@ -210,6 +221,8 @@
     def _on_end(self, job: Job) -> Callable[[JobResult], None]:
         def on_end(result: JobResult) -> None:
             self._table.remove(job)
+            if result.resolved_by:
+                self._unfinished_runs.discard_resolved(job.function.name, job.unique)
             send_result(job, result)
 
         return on_end
--- a/oxbowyard/gearman/front.py
+++ b/oxbowyard/gearman/front.py
@@ -52,6 +52,7 @@
         self._all_ended: asyncio.Future[None] | None = None  # during `close`, done when no connection is left
         self.counts: Counter[str] = Counter()  # errors that are counted instead of logged one by one
         self._stale_updates = StaleUpdates(self.counts)
+        transport.unfinished_runs.counts = self.counts
 
     def listen(self) -> None:
         """Start accepting connections."""
@@ -59,8 +60,8 @@
         self._acceptor.open()
 
     def start_draining(self) -> None:
-        """Stop accepting connections and jobs. Accepted jobs continue."""
-        self._jobs.limits.is_shutting_down = True
+        """Stop accepting connections and jobs. Accepted jobs that somebody needs continue."""
+        self._jobs.start_draining()
         if self._acceptor is not None:
             self._acceptor.close()
 
--- a/oxbowyard/gearman/job.py
+++ b/oxbowyard/gearman/job.py
@@ -74,6 +74,11 @@
         """The id of the job's request."""
         return self.handle.decode()
 
+    @property
+    def is_needed(self) -> bool:
+        """Whether it is a background job or a client waits for it, whose disconnect may not be read yet."""
+        return self.is_background or bool(self.clients)
+
     def is_wanted(self) -> bool:
         """Return whether the job is a background job or a connected client waits for it."""
         return self.is_background or any(client.is_connected() for client in self.clients)
--- a/oxbowyard/gearman/job_table.py
+++ b/oxbowyard/gearman/job_table.py
@@ -100,6 +100,10 @@
             del job.clients[client]
         return jobs
 
+    def unneeded_jobs(self) -> list[Job]:
+        """Return the jobs that run although their clients have left."""
+        return [job for job in self._by_handle.values() if job.is_running and not job.is_needed]
+
     def forget_clients(self, job: Job) -> None:
         """Remove all clients that wait for a job."""
         for client in job.clients:
--- a/oxbowyard/gearman/jobs.py
+++ b/oxbowyard/gearman/jobs.py
@@ -20,10 +20,11 @@
 from .job import Job, JobClient
 from .job_limits import JobLimits
 from .job_requests import build_request
-from .job_results import send_answer
+from .job_results import failure_packets, send_answer
 from .job_table import JobCounts, JobTable
 from .packet_types import PacketType
 from .submission import Submission, parse_submission
+from .unfinished_runs import REFUSED_COUNT, UnfinishedRuns
 
 if TYPE_CHECKING:  # at run time it is imported only if the operator's file has [waiting]
     from ..waiting.job_queue import JobQueue
@@ -40,6 +41,7 @@
         name: The scheduler's name, which is part of each job's handle.
         memory: The budget that the jobs draw from.
         queue: The queue of deferred jobs; None if no job is deferred.
+        unfinished_runs: The runs at workers whose end is not known; None if there are no workers.
     """
 
     def __init__(
@@ -49,16 +51,22 @@
         name: str,
         memory: MemoryBudget,
         queue: JobQueue | None = None,
+        unfinished_runs: UnfinishedRuns | None = None,
     ) -> None:
         self._functions = config.functions
         self._scheduler = scheduler
         self._table = JobTable(memory)
         self.limits = JobLimits(config, self._table)
+        if unfinished_runs is None:
+            unfinished_runs = UnfinishedRuns(memory, asyncio.get_running_loop().time)
+        self._unfinished_runs = unfinished_runs
         self._deferred: DeferredJobs | None = None
         self._numbers = itertools.count(1)
         self._handle_prefix = f"H:{name}:{new_process_token()}."
         if queue is not None:
-            self._deferred = DeferredJobs(queue, self._table, config.functions)
+            self._deferred = DeferredJobs(
+                queue, self._table, config.functions, self._on_running, unfinished_runs
+            )
             queue.ids.reserve(f"H:{name}:")
 
     def submit(self, packet_type: PacketType, arguments: list[bytes], client: JobClient) -> None:
@@ -74,6 +82,8 @@
             self._deferred.join_once_stored(existing, submission, client)
         elif existing is not None and self._may_join(existing, submission):
             self._join(existing, client, submission)
+        elif self._may_still_run(submission):
+            self._reject_repeat(submission, client)
         elif self._deferred is not None and (submission.function.queueing or submission.is_background):
             self._submit_deferred(self._deferred, submission, client)
         else:
@@ -94,15 +104,39 @@
         text = "a job with this unique id is not stored: submit this again once that has ended"
         raise PacketRejectedError(ErrorCode.JOB_QUEUE_FULL, text)
 
+    def _may_still_run(self, submission: Submission) -> bool:
+        """Return whether the submission must not begin, because a worker may still be at an earlier one."""
+        if submission.function.job_class.retry_safety is RetrySafety.IDEMPOTENT:
+            return False
+        return self._unfinished_runs.may_run(submission.function.name, submission.unique)
+
+    def _reject_repeat(self, submission: Submission, client: JobClient) -> None:
+        """Tell a client that the job does not begin.
+
+        Raises:
+            PacketRejectedError: The client does not wait for the end.
+        """
+        self._unfinished_runs.counts[REFUSED_COUNT] += 1
+        text = "a job with this unique id may still run: submit this again once that has ended"
+        if submission.is_background:
+            raise PacketRejectedError(ErrorCode.JOB_QUEUE_FULL, text)
+        handle = self._next_handle()
+        client.send(encode(PacketType.JOB_CREATED, handle))
+        for packet in failure_packets(handle, text):
+            client.send(packet)
+
+    def _next_handle(self) -> bytes:
+        return f"{self._handle_prefix}{next(self._numbers)}".encode()
+
     def _submit_now(self, submission: Submission, client: JobClient) -> None:
         job = self._accept(submission, is_deferred=False)
-        request = build_request(job, submission.workload, submission.priority, self._table)
+        request = build_request(job, submission.workload, submission.priority, self._on_running)
         job.task = asyncio.get_running_loop().create_task(self._serve(job, request))
         self._join(job, client, submission)
 
     def _submit_deferred(self, deferred: DeferredJobs, submission: Submission, client: JobClient) -> None:
         job = self._accept(submission, is_deferred=True)
-        request = build_request(job, submission.workload, submission.priority, self._table)
+        request = build_request(job, submission.workload, submission.priority, self._on_running)
         if deferred.must_store(submission):
             deferred.submit_durable(job, request, submission, client)
             return
@@ -112,8 +146,8 @@
     def _accept(self, submission: Submission, is_deferred: bool) -> Job:
         size = len(submission.workload)
         self.limits.check(submission.function, size, is_deferred)
-        handle = f"{self._handle_prefix}{next(self._numbers)}".encode()
-        return self._table.add(handle, submission.function, submission.unique, size, submission.is_background)
+        handle, function = self._next_handle(), submission.function
+        return self._table.add(handle, function, submission.unique, size, submission.is_background)
 
     def _join(self, job: Job, client: JobClient, submission: Submission) -> None:
         job.is_background |= submission.is_background
@@ -135,11 +169,26 @@
         send_answer(job, answer)
 
     def remove_client(self, client: JobClient) -> None:
-        """Remove a disconnected client, and cancel the foreground jobs for which no other client waits."""
+        """Remove a disconnected client, and cancel the jobs that nobody needs and no worker runs.
+
+        A worker cannot be told to stop. What it runs keeps its unique id, and a client that submits that
+        again joins the job; if nobody has by the end of the attempt, the job is cancelled then.
+        """
         for job in self._table.remove_client(client):
-            if not job.clients and not job.is_background:
+            if not job.is_needed and (not job.is_running or self.limits.is_shutting_down):
                 self._cancel(job)
 
+    def start_draining(self) -> None:
+        """Accept no more jobs, and cancel those that nobody needs: no client can come back for them."""
+        self.limits.is_shutting_down = True
+        for job in self._table.unneeded_jobs():
+            self._cancel(job)
+
+    def _on_running(self, job: Job, is_running: bool) -> None:
+        self._table.set_running(job, is_running)
+        if not is_running and not job.is_needed:
+            self._cancel(job)
+
     def _cancel(self, job: Job) -> None:
         if job.task is not None:
             job.task.cancel()
@@ -154,6 +203,7 @@
 
     def deliver_late_result(self, handle: bytes, outcome: JobOutcome, body: bytes) -> bool:
         """See `DeferredJobs.deliver_late_result`. Return False if no job is deferred."""
+        self._unfinished_runs.discard_reported(handle)
         return self._deferred is not None and self._deferred.deliver_late_result(handle, outcome, body)
 
     # ---- Queries ----
--- a/oxbowyard/gearman/worker_transport.py
+++ b/oxbowyard/gearman/worker_transport.py
@@ -32,6 +32,7 @@
 
     def __init__(self, workers: Workers) -> None:
         self.workers = workers
+        self.unfinished_runs = workers.unfinished_runs
         self._numbers = itertools.count(1)  # numbers the attempts
 
     async def attempt(self, backend: str, request: Request, context: AttemptContext) -> AttemptOutcome:
@@ -78,6 +79,7 @@
             self._withdraw(worker, assignment)
             return
         assignment.mark_sent()
+        self.unfinished_runs.add(assignment)
         worker.connection.send(assignment.encode(grab_type))
         assignment.start_timeout(worker.abilities.get(assignment.request.target, 0.0))
         assignment.context.on_started()
@@ -112,6 +114,7 @@
     ) -> bool:
         is_late = assignment.is_over
         del worker.grabbed[assignment.handle]
+        self.unfinished_runs.discard(assignment.handle)
         body = arguments[1] if packet_type is PacketType.WORK_COMPLETE else b""
         if is_late:
             self.workers.announce(worker)  # the worker may get another job now
--- a/oxbowyard/gearman/workers.py
+++ b/oxbowyard/gearman/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import sys
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 from ..waiting.job import AGED_CLASS_SUFFIX
 from .config import KIND, GearmanConfig
 from .errors import ErrorCode, PacketRejectedError
+from .unfinished_runs import UnfinishedRuns
 from .worker import Worker, WorkerConnection
 
 UpdateEndpoints = Callable[[Scope, tuple[WorkerInfo, ...], str], None]
@@ -26,6 +28,7 @@
     Attributes:
         connected: The connected workers by name.
         on_change: Called with changes to the list of backends; set by the owner.
+        unfinished_runs: The runs at workers whose end is not known.
     """
 
     def __init__(self, config: GearmanConfig, memory: MemoryBudget) -> None:
@@ -34,6 +37,7 @@
         self._allocation = memory.open(Holder.GEARMAN)  # the names of all workers' functions
         self._numbers = itertools.count(1)
         self.connected: dict[str, Worker] = {}  # by name
+        self.unfinished_runs = UnfinishedRuns(memory, asyncio.get_running_loop().time)
         self.on_change: UpdateEndpoints = lambda scope, infos, source: None
 
     def register(self, connection: WorkerConnection) -> Worker:
@@ -47,6 +51,8 @@
         del self.connected[worker.name]
         self._clear_abilities(worker)
         self.announce(worker)  # first, so that no retry of the ended attempts selects this worker
+        for handle in worker.grabbed:
+            self.unfinished_runs.mark_lost(handle)
         worker.end_all()
 
     def add_ability(self, worker: Worker, function: bytes, limit_s: float = 0.0) -> None:
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -28,6 +28,7 @@
 from oxbowyard.discovery.endpoint_list import parse_endpoint_list
 from oxbowyard.discovery.registry import Registry
 from oxbowyard.durable.encoding import decode_dependencies, decode_request, encode_request
+from oxbowyard.gearman.config import GearmanConfig
 from oxbowyard.handover.learned import decode, encode
 from oxbowyard.operator.file import OperatorConfig, OperatorFileError, load
 from oxbowyard.start.snapshot_file import read_snapshot, write_snapshot
@@ -61,11 +62,21 @@
     tables = {"waiting": found.waiting, "durable": found.durable, "membership": found.membership,
               "start": found.start}  # fmt: skip
     return {name: msgspec.to_builtins(table) for name, table in tables.items()} | {
-        "gearman": astuple(found.gearman),
+        "gearman": gearman_table(found.gearman),
         "membership's group": astuple(found.membership.protocol_settings()),
     }
 
 
+def gearman_table(found: GearmanConfig) -> tuple[Any, ...]:
+    """Return the table [gearman] as a tuple of its fields, each function with the class of its jobs."""
+    *limits, _ = astuple(found)
+    functions = {
+        name: (function.name, astuple(function.job_class), function.queueing, function.max_wait_s)
+        for name, function in found.functions.items()
+    }
+    return (*limits, functions)
+
+
 def stored_jobs(database: Database, ids: list[str]) -> list[StoredJob]:
     """Return the jobs with these ids as the program reads them."""
     return [job for id_ in ids if (job := database.find(id_)) is not None]
