One of two processes that claim an id at once sends it

What callers saw: in one of two whole runs of the tests, ten requests with one id at two processes of a replacement all got 502, and the work did not run.

Cause: the process whose record is first in the shared file read the other's record behind it, which does not count, into its memory before it asked there whether the id was known. Both gave way.

Change: what others have recorded is read before the own record is made, and what comes later afterwards; records that were read and not returned yet count as earlier.

Measured: the new case of tests/test_remembered_ids.py forces the order and failed before ([False, False]), it passes now; 29 tests of these three files pass, the case with two processes 3 of 3 alone.

--- a/oxbowyard/core/repeats.py
+++ b/oxbowyard/core/repeats.py
@@ -116,10 +116,12 @@
             return True
         now = self._clock()
         sent = SentId(_digest(request_id), now, repeat_deadline(now, window_s))
-        is_first = self._shared.claim(sent)
         self._read_shared()
-        is_first = is_first and sent.digest not in self._sent
+        is_known = sent.digest in self._sent
+        # A record that another process appends after this one's is read below, but does not count.
+        is_first = self._shared.claim(sent) and not is_known
         self._add(sent)
+        self._read_shared()
         return is_first
 
     def discard(self, request_id: str) -> None:
--- a/oxbowyard/handover/shared_ids.py
+++ b/oxbowyard/handover/shared_ids.py
@@ -118,7 +118,7 @@
         number = max(self._files)
         own_offset = self._files[number].append(sent)
         self._follow()  # another process may have gone on to the next file meanwhile
-        is_first = True
+        is_first = all(earlier.digest != sent.digest for earlier in self._unreported)
         for other_number, file in self._files.items():
             for offset, other in file.read_new():
                 if other_number == number and offset == own_offset:
--- a/tests/test_remembered_ids.py
+++ b/tests/test_remembered_ids.py
@@ -19,7 +19,7 @@
     SentId,
     UnsharedIds,
 )
-from oxbowyard.handover.shared_ids import MAX_RECORDS, SharedIdFiles
+from oxbowyard.handover.shared_ids import MAX_RECORDS, SharedIdFiles, _IdFile
 
 NEVER = None  # the window of a class that must not run twice
 
@@ -149,3 +149,23 @@
         assert all(files.claim(_sent(number)) for number in range(5))
         assert list(files.read_new()) == []
     assert len([record for record in caplog.records if "not shared" in record.message]) == 1
+
+
+def test_one_of_two_processes_that_claim_an_id_at_the_same_time_sends_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a request that neither process sends, because each sees the other's record.
+    first, second = (RememberedIds(MemoryBudget(0), Clock(), _files(tmp_path)) for _ in range(2))
+    append = _IdFile.append
+    claims: list[bool] = []
+
+    def append_beside_another(file: _IdFile, sent: SentId) -> int:
+        offset = append(file, sent)
+        monkeypatch.setattr(_IdFile, "append", append)
+        claims.append(second.claim("both", NEVER))  # between the other's record and its look at the file
+        return offset
+
+    monkeypatch.setattr(_IdFile, "append", append_beside_another)
+    claims.append(first.claim("both", NEVER))
+    assert claims == [False, True]
+    assert not first.claim("both", NEVER) and not second.claim("both", NEVER)
