Hand-ins that a hung store doesn't record are answered after SIGTERM

What callers saw: a hand-in over HTTP that waited for a store that hangs when SIGTERM came was read and then closed with no answer, after the longest deadline.

Cause: the wait for the store ended with the record or with the store's failure; a hang is neither.

Change: the intake of deferred jobs limits these waits to 2 s from the moment it stops, those that begin later too; it says that it isn't known whether the job is kept. A store that answers is waited for as before.

--- a/oxbowyard/waiting/job_intake.py
+++ b/oxbowyard/waiting/job_intake.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from ..core.request import Request
 from .dependencies import has_dependents_on_any_end
@@ -16,6 +16,9 @@
 from .result_watchers import OnEnd, ResultWatchers
 from .settings import WaitingSettings
 
+STOP_RECORD_TIMEOUT_S = 2.0  # while the program stops, for the journal to record a submission
+STOPPING_REASON = "this scheduler stops, and the store has not answered in time"
+
 
 class JobIntake:
     """Accepts the submissions of one queue. Create it on the event loop that uses it."""
@@ -44,6 +47,7 @@
         self._wall_clock = wall_clock
         self._loop = asyncio.get_running_loop()
         self._awaiting_journal: set[asyncio.Future[None]] = set()
+        self._is_stopping = False
         # Called when the journal has failed: results of durable jobs will not be delivered any more.
         self.journal_lost_callbacks: list[Callable[[], None]] = []
         self.is_recovering = False  # jobs of an earlier run are still being read from the store
@@ -164,17 +168,30 @@
         if reason:
             self.journal_failed(reason)
         try:
-            await recorded
+            async with asyncio.timeout(STOP_RECORD_TIMEOUT_S if self._is_stopping else None):
+                await recorded
+        except TimeoutError:
+            raise self._unrecorded_error(STOPPING_REASON) from None
         finally:
             self._awaiting_journal.discard(recorded)
 
+    def stop(self) -> None:
+        """Limit the time for which submitters wait for the journal, which may hang while the program ends."""
+        self._is_stopping = True
+        waiting = tuple(self._awaiting_journal)
+        self._loop.call_later(STOP_RECORD_TIMEOUT_S, self._reject_unrecorded, waiting, STOPPING_REASON)
+
     def journal_failed(self, reason: str) -> None:
         """Fail all pending `wait_until_durable` calls, because the journal will record nothing more."""
-        text = f"{reason}; it is not known whether this is kept: ask, or hand it in again with its key"
-        for recorded in self._awaiting_journal:
-            if not recorded.done():
-                retry_after_s = self._settings.full_retry_after_s
-                error = JobRejectedError(RejectionCode.STORE_UNAVAILABLE, text, retry_after_s)
-                recorded.set_exception(error)
+        self._reject_unrecorded(self._awaiting_journal, reason)
         for callback in self.journal_lost_callbacks:
             callback()
+
+    def _reject_unrecorded(self, waiting: Iterable[asyncio.Future[None]], reason: str) -> None:
+        for recorded in waiting:
+            if not recorded.done():
+                recorded.set_exception(self._unrecorded_error(reason))
+
+    def _unrecorded_error(self, reason: str) -> JobRejectedError:
+        text = f"{reason}; it is not known whether this is kept: ask, or hand it in again with its key"
+        return JobRejectedError(RejectionCode.STORE_UNAVAILABLE, text, self._settings.full_retry_after_s)
--- a/oxbowyard/waiting/job_queue.py
+++ b/oxbowyard/waiting/job_queue.py
@@ -292,6 +292,7 @@
         self._driver.is_stopping = True
         self._submissions.is_stopping = True
         self.abandoned_waits.is_stopping = True
+        self.intake.stop()
         self._policy.stop(now, keep_durable=self._journal.is_durable)
         self.abandoned_waits.release_all()
         self._driver.drive(now)
--- a/tests/test_waiters_of_deferred_jobs.py
+++ b/tests/test_waiters_of_deferred_jobs.py
@@ -17,7 +17,7 @@
 from oxbowyard.gearman.packet_types import PacketType
 from oxbowyard.store.database import Database
 from oxbowyard.store.record import StoreError, StoreFailure
-from oxbowyard.waiting.job import JobOutcome, JobState, WaitOptions
+from oxbowyard.waiting.job import JobOutcome, JobRejectedError, JobState, WaitOptions
 
 ENDS = (PacketType.WORK_COMPLETE, PacketType.WORK_FAIL)
 DELAY_S = 3600  # of jobs that are not to run
@@ -282,6 +282,29 @@
     play(scene)
 
 
+def test_hand_in_is_answered_when_the_store_hangs_after_sigterm(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a hand-in over HTTP that was read, and whose connection is closed with no answer.
+    monkeypatch.setattr("oxbowyard.waiting.job_intake.STOP_RECORD_TIMEOUT_S", 0.05)
+
+    async def scene() -> None:
+        harness = DurableHarness(tmp_path / "jobs.db", answer_ok)
+        async with slow_store(monkeypatch) as release:
+            handed_in = asyncio.create_task(harness.submit("j", delay_s=60.0))
+            await asyncio.sleep(0)
+            harness.job_queue.stop()
+            with pytest.raises(JobRejectedError, match="not known whether this is kept"):
+                await handed_in
+            with pytest.raises(JobRejectedError, match="not known whether this is kept"):
+                await harness.job_queue.intake.wait_until_durable()
+            release()
+        await harness.job_queue.intake.wait_until_durable()  # a store that answers is waited for
+        await harness.durable_store.close()
+
+    play(scene)
+
+
 def break_store(front: DurableHarness, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Database, "apply", damaged)
     front.queue_harness.submit("another", "once", durable=True)
