Soak: Gearman jobs are judged by the classes in force, like those over HTTP

Change: the field that excepted Gearman's exchanges is gone. They are held to the rule and to the bound of the HTTP front's: until 1.2 s after the signal no class that said so runs twice, and after it where the file still says so.

--- a/benchmarks/soak/audit.py
+++ b/benchmarks/soak/audit.py
@@ -108,7 +108,7 @@
 
 def _semantics(plan: Plan, observation: Observation, exchange: Exchange) -> Semantics:
     """Return the semantics of a request's class at the time when the request was sent."""
-    loosened_at = observation.loosened_at if exchange.follows_reloads else None
+    loosened_at = observation.loosened_at
     if loosened_at is not None and exchange.begun_at >= loosened_at + NEW_SETTINGS_BIND_S:
         return Semantics.FREE
     return plan.class_named(exchange.job_class).semantics
